--- /dev/null
+++ b/include/snipepost/Base/Random.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <chrono>
+#include <cstdint>
+
+#include <snipepost/Base/Types.h>
+
+namespace snipepost {
+
+/// A seeded source of random numbers that its owner passes to pure code. The
+/// distributions are Boost's, whose results are the same on every platform.
+class Random
+{
+public:
+  explicit Random(uint64_t aSeed)
+    : mEngine(aSeed)
+  {
+  }
+
+  /// A number from 0 to aBound - 1, each equally likely; aBound is above 0.
+  uint64_t Below(uint64_t aBound)
+  {
+    return boost::random::uniform_int_distribution<uint64_t>(0, aBound - 1)(
+      mEngine);
+  }
+
+  /// A number from 0 (included) to 1 (excluded).
+  double Fraction()
+  {
+    return boost::random::uniform_real_distribution<double>(0.0, 1.0)(mEngine);
+  }
+
+  /// True with probability aShare, which is from 0 to 1.
+  bool Chance(double aShare) { return Fraction() < aShare; }
+
+  /// aMean scaled by a factor between 1 - aSpread and 1 + aSpread.
+  Duration Jittered(Duration aMean, double aSpread)
+  {
+    const double factor = 1.0 + aSpread * (2.0 * Fraction() - 1.0);
+    return std::chrono::duration_cast<Duration>(aMean * factor);
+  }
+
+private:
+  boost::random::mt19937_64 mEngine;
+};
+
+} // namespace snipepost
