--- /dev/null
+++ b/include/snipepost/Settings/Schema.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <snipepost/Base/Address.h>
+#include <snipepost/Base/KeyedTag.h>
+#include <snipepost/Base/Types.h>
+
+namespace snipepost {
+
+/// Where the value of a setting came from, in rising order of precedence.
+enum class SettingSource
+{
+  Default,
+  Environment,
+  Flag,
+};
+
+/// One setting after all layers were applied, as --check prints it.
+struct EffectiveSetting
+{
+  std::string mName;
+  std::string mValue; ///< Masked when the setting is a secret.
+  SettingSource mSource = SettingSource::Default;
+};
+
+/// Reads the value of an environment variable; nothing when it is unset.
+using Environment =
+  std::function<std::optional<std::string>(const std::string&)>;
+
+/// The environment of this process.
+Environment
+ProcessEnvironment();
+
+/// What a program's command line asks for besides its settings.
+enum class SettingsRequest
+{
+  Run,
+  Help,
+  Check,
+};
+
+/// Result of loading settings: every error found in one run, or none.
+struct SettingsReport
+{
+  SettingsRequest mRequest = SettingsRequest::Run;
+  std::vector<EffectiveSetting> mEffective;
+  std::vector<std::string> mErrors;
+};
+
+/// Parsers for the types a setting may have. Each returns an error text that
+/// says what was expected, or an empty text.
+namespace parse {
+std::string
+Value(const std::string& aText, std::string& aOut);
+std::string
+Value(const std::string& aText, bool& aOut);
+std::string
+Value(const std::string& aText, uint64_t& aOut);
+std::string
+Value(const std::string& aText, double& aOut);
+std::string
+Value(const std::string& aText, Address& aOut);
+std::string
+Value(const std::string& aText, std::vector<Address>& aOut);
+std::string
+Value(const std::string& aText, std::optional<Address>& aOut);
+std::string
+Value(const std::string& aText, std::optional<SecretKey>& aOut);
+std::string
+Value(const std::string& aText, std::chrono::milliseconds& aOut);
+} // namespace parse
+
+/// One line of a settings table, independent of the struct it fills in.
+struct SettingSpec
+{
+  std::string mName; ///< Flag without dashes, such as "store-address".
+  std::string mDefault;
+  std::string mHelp;
+  bool mSecret = false;
+};
+
+/// Environment variable that sets a flag: "store-address" is set by
+/// SNIPEPOST_STORE_ADDRESS.
+std::string
+EnvironmentName(std::string_view aFlag);
+
+/// Text for --help: every setting with its flag, variable and default.
+std::string
+HelpText(std::string_view aProgram, const std::vector<SettingSpec>& aSpecs);
+
+/// Text for --check: each setting with its effective value and its source.
+std::string
+CheckText(const SettingsReport& aReport);
+
+/// Layers default, environment and flags. aAssign is called once a setting
+/// with its index in aSpecs and the winning text and returns an error or an
+/// empty text. Unknown flags
+/// and words that belong to no flag are errors.
+SettingsReport
+LoadLayers(
+  const std::vector<SettingSpec>& aSpecs,
+  const std::vector<std::string>& aArguments,
+  const Environment& aEnvironment,
+  const std::function<std::string(size_t, const std::string&)>& aAssign);
+
+/// A table of settings that fills in a struct through member pointers.
+template<typename Struct>
+class Schema
+{
+public:
+  /// Adds a setting. aDefault is parsed like any other text; an empty text
+  /// that the member's type can't parse makes the setting mandatory.
+  template<typename Member>
+  Schema& Add(std::string aName,
+              Member Struct::*aMember,
+              std::string aDefault,
+              std::string aHelp)
+  {
+    mSpecs.push_back(
+      { std::move(aName), std::move(aDefault), std::move(aHelp), false });
+    mAssign.push_back([aMember](Struct& aOut, const std::string& aText) {
+      return parse::Value(aText, aOut.*aMember);
+    });
+    return *this;
+  }
+
+  /// Marks the setting added last as a secret, so that --check masks it.
+  Schema& Secret()
+  {
+    mSpecs.back().mSecret = true;
+    return *this;
+  }
+
+  const std::vector<SettingSpec>& Specs() const { return mSpecs; }
+
+  /// Fills in aOut; see LoadLayers.
+  SettingsReport Load(const std::vector<std::string>& aArguments,
+                      const Environment& aEnvironment,
+                      Struct& aOut) const
+  {
+    return LoadLayers(mSpecs,
+                      aArguments,
+                      aEnvironment,
+                      [&](size_t aIndex, const std::string& aText) {
+                        return mAssign[aIndex](aOut, aText);
+                      });
+  }
+
+private:
+  std::vector<SettingSpec> mSpecs;
+  std::vector<std::function<std::string(Struct&, const std::string&)>> mAssign;
+};
+
+} // namespace snipepost
