Add the control plane's pure core

Cause: instances must agree on documents, members and health without a coordination service, through store outages, rollbacks and partitions. Change: module Membership with a blackboard and five controllers: own announcement and lease, view, health by three probers per target with majority votes, gossip of changes, and documents by generation with write-back to a store that has lost them.

--- /dev/null
+++ b/include/snipepost/Membership/Events.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <snipepost/Membership/Records.h>
+
+namespace snipepost {
+
+/// How a call to the platform's object API ended.
+enum class StoreOutcome : uint8_t
+{
+  Done,
+  Conflict,
+  Absent,
+  Refused, ///< Rate limit, outage or no connection: it had no effect.
+  Unknown, ///< No answer: a write may have taken effect.
+};
+
+/// An object as the store returned it.
+struct StoreObject
+{
+  std::string mKey;
+  ObjectVersion mVersion;
+  std::string mValue;
+};
+
+/// Condition under which a write takes effect: an expected version, or
+/// nothing when the object must be absent.
+using StoreCondition = std::optional<ObjectVersion>;
+
+// Effects: what the core asks its owner to do.
+
+/// Send a probe packet; an answer comes back as ProbeAnswered.
+struct SendProbe
+{
+  Address mTarget;
+};
+
+/// Send an exchange message; ends as ExchangeEnded.
+struct SendExchange
+{
+  Address mTo;
+  ExchangeMessage mMessage;
+};
+
+/// Ask an instance for its document; ends as DocumentFetched.
+struct PullDocument
+{
+  Address mFrom;
+};
+
+/// Read one object; ends as StoreReadEnded.
+struct StoreRead
+{
+  std::string mKey;
+};
+
+/// Write one object; ends as StoreWriteEnded.
+struct StoreWrite
+{
+  std::string mKey;
+  std::string mValue;
+  StoreCondition mCondition;
+  Duration mLease{}; ///< Zero for an object that does not expire.
+};
+
+/// Read all objects below a prefix; ends as StoreListEnded.
+struct StoreList
+{
+  std::string mPrefix;
+};
+
+/// Wait for changes below a prefix after a revision; ends as StoreListEnded
+/// with the changed objects.
+struct StoreWatch
+{
+  std::string mPrefix;
+  uint64_t mSince = 0;
+};
+
+/// The document on the blackboard is a new one.
+struct DocumentAdopted
+{};
+
+/// Members or suspects on the blackboard have changed.
+struct ViewChanged
+{};
+
+using MembershipEffect = std::variant<SendProbe,
+                                      SendExchange,
+                                      PullDocument,
+                                      StoreRead,
+                                      StoreWrite,
+                                      StoreList,
+                                      StoreWatch,
+                                      DocumentAdopted,
+                                      ViewChanged>;
+using MembershipEffects = std::vector<MembershipEffect>;
+
+// Events: what the owner tells the core.
+
+/// Time has passed. Due at least every 50 ms.
+struct ClockTick
+{};
+
+/// A packet carried a generation; its sender can be asked for the document.
+struct GenerationSeen
+{
+  Address mFrom;
+  Generation mGeneration;
+};
+
+struct ProbeAnswered
+{
+  Address mFrom;
+};
+
+/// A probe came in; it shows that an entry instance regards this one as live.
+struct ProbeReceived
+{
+  Address mFrom;
+};
+
+struct ExchangeEnded
+{
+  Address mWith;
+  std::optional<ExchangeMessage> mAnswer; ///< Nothing when it failed.
+};
+
+struct DocumentFetched
+{
+  Address mFrom;
+  std::optional<std::string> mText; ///< Nothing when it failed.
+};
+
+struct StoreReadEnded
+{
+  std::string mKey;
+  StoreOutcome mOutcome = StoreOutcome::Unknown;
+  StoreObject mObject;
+};
+
+struct StoreWriteEnded
+{
+  std::string mKey;
+  StoreOutcome mOutcome = StoreOutcome::Unknown;
+  ObjectVersion mVersion;
+};
+
+struct StoreListEnded
+{
+  std::string mPrefix;
+  StoreOutcome mOutcome = StoreOutcome::Unknown;
+  bool mComplete = false; ///< True for a list, false for a watch.
+  uint64_t mRevision = 0;
+  std::vector<StoreObject> mObjects;
+};
+
+using MembershipEvent = std::variant<ClockTick,
+                                     GenerationSeen,
+                                     ProbeAnswered,
+                                     ProbeReceived,
+                                     ExchangeEnded,
+                                     DocumentFetched,
+                                     StoreReadEnded,
+                                     StoreWriteEnded,
+                                     StoreListEnded>;
+
+} // namespace snipepost
--- /dev/null
+++ b/include/snipepost/Membership/HealthController.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include <snipepost/Membership/Controller.h>
+
+namespace snipepost {
+
+/// Number of entry instances that probe each instance, whatever the size of
+/// the fleet, so that an endpoint's probe load does not grow with it.
+constexpr size_t kProbersPerTarget = 3;
+
+/// Probes the instances assigned to this one by rendezvous rank, votes on
+/// their reachability, and derives the suspects from all votes. Runs in entry
+/// instances. The scheme follows SWIM (Das, Gupta and Motivala, 2002) with a
+/// majority of fixed probers in place of indirect probes.
+class HealthController : public Controller
+{
+public:
+  void Step(Blackboard& aBoard,
+            const MembershipEvent& aEvent,
+            Instant aNow,
+            Random& aRandom,
+            MembershipEffects& aEffects) override;
+
+private:
+  struct Target
+  {
+    Instant mNextProbe;
+    unsigned mUnanswered = 0;
+    bool mDown = false;
+  };
+
+  void OnTick(Blackboard& aBoard,
+              Instant aNow,
+              Random& aRandom,
+              MembershipEffects& aEffects);
+  void OnAnswer(Blackboard& aBoard, const Address& aFrom);
+  void Assign(Blackboard& aBoard, Instant aNow, Random& aRandom);
+  void Vote(Blackboard& aBoard, const Address& aTarget, bool aDown);
+  void DeriveSuspects(Blackboard& aBoard) const;
+
+  std::map<Address, Target> mTargets;
+  std::map<Address, std::vector<Address>> mProbers;
+  uint64_t mAssignedRevision = 0;
+  uint64_t mSuspectedDigest = 0;
+  uint32_t mVoteCount = 0;
+};
+
+/// The entry instances of the target's region that should probe it: the first
+/// kProbersPerTarget in rendezvous order that are not suspected.
+std::vector<Address>
+ProbersOf(const Blackboard& aBoard, const InstanceRecord& aTarget);
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Membership/Blackboard.cpp
@@ -0,0 +1,55 @@
+#include <snipepost/Membership/Blackboard.h>
+
+#include <xxhash.h>
+
+namespace snipepost {
+
+namespace {
+
+uint64_t
+Weight(uint64_t aKey, const Address& aAddress)
+{
+  const uint64_t packed = (uint64_t{ aAddress.mIp } << 16) | aAddress.mPort;
+  return XXH3_64bits_withSeed(&packed, sizeof packed, aKey);
+}
+
+} // namespace
+
+bool
+RanksBefore(uint64_t aKey, const Address& aLeft, const Address& aRight)
+{
+  const uint64_t left = Weight(aKey, aLeft);
+  const uint64_t right = Weight(aKey, aRight);
+  return left != right ? left > right : aLeft < aRight;
+}
+
+size_t
+OwnRank(const Blackboard& aBoard, uint64_t aKey)
+{
+  size_t rank = 0;
+  for (const auto& [address, member] : aBoard.mMembers) {
+    const bool counts = member.mRecord.mRole == InstanceRole::Entry &&
+                        member.mRecord.mState != InstanceState::Left &&
+                        address != aBoard.mOwn.mAddress &&
+                        !aBoard.mSuspects.contains(address);
+    if (counts && RanksBefore(aKey, address, aBoard.mOwn.mAddress)) {
+      ++rank;
+    }
+  }
+  return rank;
+}
+
+uint64_t
+RankKey(std::string_view aText)
+{
+  return XXH3_64bits(aText.data(), aText.size());
+}
+
+uint64_t
+RankKey(const Address& aAddress)
+{
+  constexpr uint64_t kSeed = 0x70726f6265727321;
+  return Weight(kSeed, aAddress);
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Membership/DocumentController.cpp
@@ -0,0 +1,237 @@
+#include <snipepost/Membership/DocumentController.h>
+
+namespace snipepost {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A peer that does not answer within this time is given up for another.
+constexpr Duration kPullTimeout = 2s;
+/// Pause after a failed pull, so that a dead peer is not asked in a loop.
+constexpr Duration kPullPause = 100ms;
+/// Interval of full reads: bounds the harm of a watch that stalled silently.
+constexpr Duration kReadInterval = 30s;
+constexpr double kReadSpread = 0.2;
+/// Wait between one rank and the next before a lost document is written back,
+/// so that usually one instance writes.
+constexpr Duration kWriteBackStep = 1s;
+
+} // namespace
+
+std::string
+DocumentKey(const Blackboard& aBoard)
+{
+  return "deployments/" + aBoard.mOptions.mDeployment;
+}
+
+DocumentController::DocumentController(DocumentInspector aInspector)
+  : mInspector(std::move(aInspector))
+  , mReadDelay(250ms, 10s)
+{
+}
+
+void
+DocumentController::Step(Blackboard& aBoard,
+                         const MembershipEvent& aEvent,
+                         Instant aNow,
+                         Random& aRandom,
+                         MembershipEffects& aEffects)
+{
+  Context context{ aBoard, aNow, aRandom, aEffects };
+  std::visit([&](const auto& aAlternative) { Handle(context, aAlternative); },
+             aEvent);
+}
+
+void
+DocumentController::Handle(Context& aContext, const ClockTick&)
+{
+  if (mPulling && aContext.mNow >= mPullDeadline) {
+    mAhead.erase(*mPulling);
+    mPulling.reset();
+  }
+  if (!mPulling && !mAhead.empty() && aContext.mNow >= mNextPull) {
+    PullFrom(aContext, mAhead.begin()->first);
+  }
+  ReadStoreWhenDue(aContext);
+  WriteBackWhenDue(aContext);
+}
+
+void
+DocumentController::Handle(Context& aContext, const GenerationSeen& aEvent)
+{
+  if (aEvent.mGeneration <= aContext.mBoard.mDocument.mVersion.mGeneration) {
+    return;
+  }
+  mAhead[aEvent.mFrom] = aEvent.mGeneration;
+  if (!mPulling && aContext.mNow >= mNextPull) {
+    PullFrom(aContext, aEvent.mFrom);
+  }
+}
+
+void
+DocumentController::Handle(Context& aContext, const ExchangeEnded& aEvent)
+{
+  if (!aEvent.mAnswer ||
+      aEvent.mAnswer->mDocument <= aContext.mBoard.mDocument.mVersion) {
+    return;
+  }
+  mAhead[aEvent.mWith] = aEvent.mAnswer->mDocument.mGeneration;
+  if (!mPulling) {
+    PullFrom(aContext, aEvent.mWith);
+  }
+}
+
+void
+DocumentController::PullFrom(Context& aContext, const Address& aPeer)
+{
+  mPulling = aPeer;
+  mPullDeadline = aContext.mNow + kPullTimeout;
+  ++aContext.mBoard.mCounters.mDocumentPulls;
+  aContext.mEffects.emplace_back(PullDocument{ aPeer });
+}
+
+void
+DocumentController::Handle(Context& aContext, const DocumentFetched& aEvent)
+{
+  if (mPulling == aEvent.mFrom) {
+    mPulling.reset();
+  }
+  mAhead.erase(aEvent.mFrom);
+  if (aEvent.mText) {
+    Adopt(aContext, *aEvent.mText);
+    return;
+  }
+  mNextPull = aContext.mNow + kPullPause;
+}
+
+void
+DocumentController::Adopt(Context& aContext, const std::string& aText)
+{
+  Blackboard& board = aContext.mBoard;
+  const auto version = mInspector(aText);
+  if (!version) {
+    ++board.mCounters.mDocumentsRejected;
+    return;
+  }
+  if (*version <= board.mDocument.mVersion) {
+    return;
+  }
+  board.mDocument = HeldDocument{ *version, aText };
+  ++board.mCounters.mDocumentsAdopted;
+  mWriteBackAt.reset();
+  std::erase_if(mAhead, [&](const auto& aPeer) {
+    return aPeer.second <= version->mGeneration;
+  });
+  // A new document is passed on at once instead of at the next interval.
+  constexpr unsigned kAnnounceTo = 3;
+  board.mUrgentExchanges = std::max(board.mUrgentExchanges, kAnnounceTo);
+  aContext.mEffects.emplace_back(DocumentAdopted{});
+}
+
+void
+DocumentController::ReadStoreWhenDue(Context& aContext)
+{
+  if (mReading || aContext.mNow < mNextRead) {
+    return;
+  }
+  mReading = true;
+  ++aContext.mBoard.mCounters.mStoreReads;
+  aContext.mEffects.emplace_back(StoreRead{ DocumentKey(aContext.mBoard) });
+}
+
+void
+DocumentController::Handle(Context& aContext, const StoreReadEnded& aEvent)
+{
+  if (aEvent.mKey != DocumentKey(aContext.mBoard)) {
+    return;
+  }
+  mReading = false;
+  const bool answered = aEvent.mOutcome == StoreOutcome::Done ||
+                        aEvent.mOutcome == StoreOutcome::Absent;
+  if (!answered) {
+    mNextRead = aContext.mNow + mReadDelay.Failed(aContext.mRandom);
+    ++aContext.mBoard.mCounters.mStoreFailures;
+    return;
+  }
+  mReadDelay.Succeeded();
+  mNextRead =
+    aContext.mNow + aContext.mRandom.Jittered(kReadInterval, kReadSpread);
+  ObserveStored(aContext,
+                aEvent.mOutcome == StoreOutcome::Done
+                  ? std::optional(aEvent.mObject)
+                  : std::nullopt);
+}
+
+void
+DocumentController::Handle(Context& aContext, const StoreListEnded& aEvent)
+{
+  if (aEvent.mOutcome != StoreOutcome::Done) {
+    return;
+  }
+  for (const StoreObject& object : aEvent.mObjects) {
+    if (object.mKey == DocumentKey(aContext.mBoard)) {
+      ObserveStored(aContext, object);
+    }
+  }
+}
+
+void
+DocumentController::ObserveStored(Context& aContext,
+                                  const std::optional<StoreObject>& aObject)
+{
+  Blackboard& board = aContext.mBoard;
+  if (aObject) {
+    Adopt(aContext, aObject->mValue);
+  }
+  const auto stored =
+    aObject ? mInspector(aObject->mValue) : std::optional<DocumentVersion>();
+  const bool behind =
+    board.mDocument.Exists() && (!stored || *stored < board.mDocument.mVersion);
+  if (!behind) {
+    mWriteBackAt.reset();
+    return;
+  }
+  if (board.mOwn.mRole != InstanceRole::Entry) {
+    return;
+  }
+  mWriteBackCondition =
+    aObject ? StoreCondition(aObject->mVersion) : std::nullopt;
+  if (!mWriteBackAt) {
+    const auto rank =
+      static_cast<int64_t>(OwnRank(board, RankKey(board.mOptions.mDeployment)));
+    mWriteBackAt = aContext.mNow +
+                   aContext.mRandom.Jittered(kWriteBackStep, 0.5) +
+                   kWriteBackStep * rank;
+  }
+}
+
+void
+DocumentController::WriteBackWhenDue(Context& aContext)
+{
+  if (!mWriteBackAt || aContext.mNow < *mWriteBackAt) {
+    return;
+  }
+  Blackboard& board = aContext.mBoard;
+  mWriteBackAt.reset();
+  ++board.mCounters.mWriteBacks;
+  ++board.mCounters.mStoreWrites;
+  aContext.mEffects.emplace_back(StoreWrite{ DocumentKey(board),
+                                             board.mDocument.mText,
+                                             mWriteBackCondition,
+                                             Duration::zero() });
+}
+
+void
+DocumentController::Handle(Context& aContext, const StoreWriteEnded& aEvent)
+{
+  if (aEvent.mKey != DocumentKey(aContext.mBoard)) {
+    return;
+  }
+  // Whatever became of the write, what the store now holds is read again.
+  mNextRead = aContext.mNow + (aEvent.mOutcome == StoreOutcome::Done
+                                 ? Duration::zero()
+                                 : mReadDelay.Failed(aContext.mRandom));
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Membership/MembershipCore.cpp
@@ -0,0 +1,100 @@
+#include <snipepost/Membership/MembershipCore.h>
+
+#include <snipepost/Membership/ExchangeController.h>
+#include <snipepost/Membership/HealthController.h>
+#include <snipepost/Membership/ViewController.h>
+
+namespace snipepost {
+
+namespace {
+
+void
+RecordOutcome(StoreStatus& aStatus, StoreOutcome aOutcome, Instant aNow)
+{
+  aStatus.mReachable = aOutcome == StoreOutcome::Done ||
+                       aOutcome == StoreOutcome::Conflict ||
+                       aOutcome == StoreOutcome::Absent;
+  if (aStatus.mReachable) {
+    aStatus.mLastSuccess = aNow;
+  }
+}
+
+void
+ObserveStore(Blackboard& aBoard, const MembershipEvent& aEvent, Instant aNow)
+{
+  if (const auto* read = std::get_if<StoreReadEnded>(&aEvent)) {
+    RecordOutcome(aBoard.mStore, read->mOutcome, aNow);
+  } else if (const auto* write = std::get_if<StoreWriteEnded>(&aEvent)) {
+    RecordOutcome(aBoard.mStore, write->mOutcome, aNow);
+  } else if (const auto* list = std::get_if<StoreListEnded>(&aEvent)) {
+    RecordOutcome(aBoard.mStore, list->mOutcome, aNow);
+  }
+}
+
+} // namespace
+
+MembershipCore::MembershipCore(MembershipOptions aOptions,
+                               const InstanceRecord& aOwn,
+                               DocumentInspector aInspector,
+                               uint64_t aSeed)
+  : mRandom(aSeed)
+{
+  mBoard.mOptions = std::move(aOptions);
+  mBoard.mOwn = aOwn;
+  auto announcement = std::make_unique<AnnouncementController>();
+  mAnnouncement = announcement.get();
+  mControllers.push_back(std::move(announcement));
+  if (aOwn.mRole == InstanceRole::Entry) {
+    mControllers.push_back(std::make_unique<ViewController>());
+    mControllers.push_back(std::make_unique<HealthController>());
+  }
+  mControllers.push_back(
+    std::make_unique<DocumentController>(std::move(aInspector)));
+  mControllers.push_back(std::make_unique<ExchangeController>());
+}
+
+MembershipEffects
+MembershipCore::Handle(const MembershipEvent& aEvent, Instant aNow)
+{
+  ObserveStore(mBoard, aEvent, aNow);
+  MembershipEffects effects;
+  const auto step = [&](const MembershipEvent& aOne) {
+    for (const auto& controller : mControllers) {
+      controller->Step(mBoard, aOne, aNow, mRandom, effects);
+    }
+  };
+  step(aEvent);
+  for (const MembershipEvent& pending : std::exchange(mPending, {})) {
+    step(pending);
+  }
+  return effects;
+}
+
+ExchangeMessage
+MembershipCore::AnswerExchange(const ExchangeMessage& aMessage, Instant aNow)
+{
+  // A greater document of the sender is pulled like one that an answer shows.
+  if (aMessage.mDocument > mBoard.mDocument.mVersion) {
+    mPending.emplace_back(ExchangeEnded{ aMessage.mFrom, aMessage });
+  }
+  return ExchangeController::Answer(mBoard, aMessage, aNow);
+}
+
+void
+MembershipCore::SetState(InstanceState aState)
+{
+  if (mBoard.mOwn.mState == aState) {
+    return;
+  }
+  mBoard.mOwn.mState = aState;
+  ++mBoard.mOwn.mVersion.mSequence;
+  mBoard.mUrgentExchanges = std::max(mBoard.mUrgentExchanges, 3U);
+}
+
+bool
+MembershipCore::MayAct(Instant aNow) const
+{
+  return !Superseded() && aNow < mBoard.mOwnLeaseEnd;
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/tests/Membership/FakeFleet.h
@@ -0,0 +1,338 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <snipepost/Membership/Codec.h>
+#include <snipepost/Membership/MembershipCore.h>
+
+namespace snipepost::fake {
+
+/// A document's text in these tests is "generation/submission".
+inline std::optional<DocumentVersion>
+InspectText(const std::string& aText)
+{
+  const size_t slash = aText.find('/');
+  if (slash == std::string::npos || slash == 0) {
+    return std::nullopt;
+  }
+  return DocumentVersion{ Generation(std::stoull(aText.substr(0, slash))),
+                          SubmissionId(aText.substr(slash + 1)) };
+}
+
+/// The platform's object API in virtual time, with the faults that it has.
+class Store
+{
+public:
+  bool mDown = false;
+  /// Number of writes that take effect although their answer is lost.
+  unsigned mLoseAnswers = 0;
+  uint64_t mRevision = 0;
+  std::map<std::string, StoreObject> mObjects;
+  uint64_t mReads = 0;
+  uint64_t mWrites = 0;
+
+  StoreOutcome Write(const StoreWrite& aWrite, ObjectVersion& aVersion)
+  {
+    ++mWrites;
+    if (mDown) {
+      return StoreOutcome::Refused;
+    }
+    const auto found = mObjects.find(aWrite.mKey);
+    const StoreCondition current =
+      found == mObjects.end() ? StoreCondition() : found->second.mVersion;
+    if (current != aWrite.mCondition) {
+      return StoreOutcome::Conflict;
+    }
+    aVersion = ObjectVersion(++mRevision);
+    mObjects[aWrite.mKey] = { aWrite.mKey, aVersion, aWrite.mValue };
+    if (mLoseAnswers > 0) {
+      --mLoseAnswers;
+      return StoreOutcome::Unknown;
+    }
+    return StoreOutcome::Done;
+  }
+
+  StoreReadEnded Read(const std::string& aKey)
+  {
+    ++mReads;
+    if (mDown) {
+      return { aKey, StoreOutcome::Refused, {} };
+    }
+    const auto found = mObjects.find(aKey);
+    if (found == mObjects.end()) {
+      return { aKey, StoreOutcome::Absent, {} };
+    }
+    return { aKey, StoreOutcome::Done, found->second };
+  }
+
+  /// Objects below the prefix that changed after aSince.
+  StoreListEnded List(const std::string& aPrefix, uint64_t aSince)
+  {
+    ++mReads;
+    StoreListEnded list{
+      aPrefix, StoreOutcome::Done, aSince == 0, mRevision, {}
+    };
+    if (mDown) {
+      list.mOutcome = StoreOutcome::Refused;
+      return list;
+    }
+    for (const auto& [key, object] : mObjects) {
+      if (key.starts_with(aPrefix) && object.mVersion.Value() > aSince) {
+        list.mObjects.push_back(object);
+      }
+    }
+    return list;
+  }
+};
+
+/// Several membership cores joined by a network in virtual time.
+class Fleet
+{
+public:
+  explicit Fleet(uint64_t aSeed)
+    : mRandom(aSeed)
+    , mSeed(aSeed)
+  {
+    mOptions.mDeployment = "test";
+  }
+
+  Store mStore;
+  MembershipOptions mOptions;
+  Duration mDelay = std::chrono::milliseconds(4);
+  /// True when packets from the first to the second are lost.
+  std::function<bool(const Address&, const Address&)> mCut =
+    [](const Address&, const Address&) { return false; };
+  /// Total bytes of exchange messages, both ways.
+  uint64_t mExchangeBytes = 0;
+  uint64_t mDocumentBytes = 0;
+  /// Encoding of messages costs most of a large test's time.
+  bool mCountBytes = false;
+
+  static Address At(size_t aIndex)
+  {
+    return { 0x7f000000U + static_cast<uint32_t>(aIndex >> 14U),
+             static_cast<uint16_t>(1024 + (aIndex & 0x3fffU)) };
+  }
+
+  MembershipCore& Start(size_t aIndex, InstanceRole aRole, uint64_t aLife = 1)
+  {
+    InstanceRecord own;
+    own.mRole = aRole;
+    own.mAddress = At(aIndex);
+    own.mService = ServiceId(aRole == InstanceRole::Agent ? 1 : 0);
+    own.mState = InstanceState::Ready;
+    own.mVersion = { Incarnation(aLife), 0 };
+    auto core = std::make_unique<MembershipCore>(
+      mOptions, own, InspectText, mSeed * 1000003 + aIndex);
+    auto& slot = mCores[own.mAddress];
+    slot = std::move(core);
+    return *slot;
+  }
+
+  void Kill(size_t aIndex) { mCores.erase(At(aIndex)); }
+  void Pause(size_t aIndex) { mPaused.insert(At(aIndex)); }
+  void Resume(size_t aIndex) { mPaused.erase(At(aIndex)); }
+  MembershipCore& Core(size_t aIndex) { return *mCores.at(At(aIndex)); }
+  Instant Now() const { return mNow; }
+
+  std::map<Address, std::unique_ptr<MembershipCore>>& Cores() { return mCores; }
+
+  /// Runs until the condition holds or the time is over; returns the time
+  /// that passed.
+  Duration RunUntil(Duration aLimit, const std::function<bool()>& aCondition)
+  {
+    const Instant start = mNow;
+    while (mNow - start < aLimit && !aCondition()) {
+      Advance();
+    }
+    return mNow - start;
+  }
+
+  void Run(Duration aTime)
+  {
+    RunUntil(aTime, [] { return false; });
+  }
+
+  bool AllHold(uint64_t aGeneration) const
+  {
+    for (const auto& [address, core] : mCores) {
+      if (core->Board().mDocument.mVersion.mGeneration.Value() != aGeneration) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+private:
+  struct Message
+  {
+    Address mTo;
+    std::function<void()> mDeliver;
+  };
+
+  bool Live(const Address& aAddress) const
+  {
+    return mCores.contains(aAddress) && !mPaused.contains(aAddress);
+  }
+
+  void Advance()
+  {
+    mNow += std::chrono::milliseconds(20);
+    while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
+      auto message = std::move(mQueue.begin()->second);
+      mQueue.erase(mQueue.begin());
+      if (Live(message.mTo)) {
+        message.mDeliver();
+      }
+    }
+    std::vector<Address> live;
+    for (const auto& [address, core] : mCores) {
+      if (Live(address)) {
+        live.push_back(address);
+      }
+    }
+    for (const Address& address : live) {
+      Feed(address, ClockTick{});
+    }
+    FireWatches();
+  }
+
+  void Post(const Address& aTo, Duration aDelay, std::function<void()> aDeliver)
+  {
+    mQueue.emplace(mNow + aDelay, Message{ aTo, std::move(aDeliver) });
+  }
+
+  void Feed(const Address& aTo, const MembershipEvent& aEvent)
+  {
+    for (const auto& effect : mCores.at(aTo)->Handle(aEvent, mNow)) {
+      std::visit([&](const auto& aOne) { Perform(aTo, aOne); }, effect);
+    }
+  }
+
+  void Reply(const Address& aTo, MembershipEvent aEvent)
+  {
+    Post(aTo, mDelay, [this, aTo, event = std::move(aEvent)] {
+      Feed(aTo, event);
+    });
+  }
+
+  void Perform(const Address& aFrom, const SendProbe& aProbe)
+  {
+    const Address target = aProbe.mTarget;
+    if (mCut(aFrom, target)) {
+      return;
+    }
+    Post(target, mDelay, [this, aFrom, target] {
+      Feed(target, ProbeReceived{ aFrom });
+      const Generation theirs =
+        mCores.at(aFrom)->Board().mDocument.mVersion.mGeneration;
+      Feed(target, GenerationSeen{ aFrom, theirs });
+      if (!mCut(target, aFrom)) {
+        Reply(aFrom, ProbeAnswered{ target });
+      }
+    });
+  }
+
+  void Perform(const Address& aFrom, const SendExchange& aSend)
+  {
+    const Address target = aSend.mTo;
+    if (!Live(target) || mCut(aFrom, target) || mCut(target, aFrom)) {
+      Reply(aFrom, ExchangeEnded{ target, std::nullopt });
+      return;
+    }
+    CountBytes(aSend.mMessage);
+    Post(target, mDelay, [this, aFrom, target, message = aSend.mMessage] {
+      const auto answer = mCores.at(target)->AnswerExchange(message, mNow);
+      CountBytes(answer);
+      Reply(aFrom, ExchangeEnded{ target, answer });
+    });
+  }
+
+  void Perform(const Address& aFrom, const PullDocument& aPull)
+  {
+    const Address target = aPull.mFrom;
+    if (!Live(target) || mCut(aFrom, target) || mCut(target, aFrom)) {
+      Reply(aFrom, DocumentFetched{ target, std::nullopt });
+      return;
+    }
+    Post(target, mDelay, [this, aFrom, target] {
+      const std::string text = mCores.at(target)->Board().mDocument.mText;
+      mDocumentBytes += text.size();
+      Reply(aFrom, DocumentFetched{ target, text });
+    });
+  }
+
+  void Perform(const Address& aFrom, const StoreRead& aRead)
+  {
+    Reply(aFrom, mStore.Read(aRead.mKey));
+  }
+
+  void Perform(const Address& aFrom, const StoreWrite& aWrite)
+  {
+    StoreWriteEnded ended{ aWrite.mKey, StoreOutcome::Unknown, {} };
+    ended.mOutcome = mStore.Write(aWrite, ended.mVersion);
+    Reply(aFrom, ended);
+  }
+
+  void Perform(const Address& aFrom, const StoreList& aList)
+  {
+    Reply(aFrom, mStore.List(aList.mPrefix, 0));
+  }
+
+  void Perform(const Address& aFrom, const StoreWatch& aWatch)
+  {
+    ++mStore.mReads;
+    mWatches.push_back({ aFrom, aWatch, mNow + std::chrono::seconds(30) });
+  }
+
+  void Perform(const Address&, const DocumentAdopted&) {}
+  void Perform(const Address&, const ViewChanged&) {}
+
+  void FireWatches()
+  {
+    std::deque<Watch> waiting;
+    for (const Watch& watch : std::exchange(mWatches, {})) {
+      auto list = mStore.List(watch.mWatch.mPrefix, watch.mWatch.mSince);
+      --mStore.mReads; // Counted when the watch was set.
+      list.mComplete = false;
+      const bool fires = !list.mObjects.empty() || mNow >= watch.mLimit ||
+                         list.mOutcome != StoreOutcome::Done;
+      if (!fires) {
+        waiting.push_back(watch);
+      } else if (Live(watch.mOwner)) {
+        Reply(watch.mOwner, std::move(list));
+      }
+    }
+    mWatches.insert(mWatches.end(), waiting.begin(), waiting.end());
+  }
+
+  void CountBytes(const ExchangeMessage& aMessage)
+  {
+    if (mCountBytes) {
+      mExchangeBytes += WriteExchange(aMessage).size();
+    }
+  }
+
+  struct Watch
+  {
+    Address mOwner;
+    StoreWatch mWatch;
+    Instant mLimit;
+  };
+
+  Random mRandom;
+  uint64_t mSeed;
+  Instant mNow = Instant(std::chrono::seconds(1000));
+  std::map<Address, std::unique_ptr<MembershipCore>> mCores;
+  std::set<Address> mPaused;
+  std::multimap<Instant, Message> mQueue;
+  std::deque<Watch> mWatches;
+};
+
+} // namespace snipepost::fake
--- /dev/null
+++ b/tests/Membership/FleetTest.cpp
@@ -0,0 +1,297 @@
+#include <boost/test/unit_test.hpp>
+
+#include <tests/Membership/FakeFleet.h>
+
+#include <snipepost/Membership/HealthController.h>
+
+using namespace snipepost;
+using namespace std::chrono_literals;
+using fake::Fleet;
+
+namespace {
+
+constexpr uint64_t kSeed = 20261204;
+/// "A few seconds" in the requirements is read as this.
+constexpr Duration kFewSeconds = 5s;
+/// Time for a document to be in force everywhere.
+constexpr Duration kInForce = 9s;
+constexpr const char* kKey = "deployments/test";
+
+void
+StartEntries(Fleet& aFleet, size_t aCount)
+{
+  for (size_t i = 0; i < aCount; ++i) {
+    aFleet.Start(i, InstanceRole::Entry);
+  }
+}
+
+void
+Submit(Fleet& aFleet, uint64_t aGeneration)
+{
+  auto& store = aFleet.mStore;
+  const std::string text = std::to_string(aGeneration) + "/s";
+  store.mObjects[kKey] = { kKey, ObjectVersion(++store.mRevision), text };
+}
+
+size_t
+SuspectedBy(Fleet& aFleet, size_t aTarget)
+{
+  size_t count = 0;
+  for (const auto& [address, core] : aFleet.Cores()) {
+    count += core->Board().mSuspects.contains(Fleet::At(aTarget)) ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetTest)
+
+// Guards against updates that reach some instances only.
+BOOST_AUTO_TEST_CASE(P10_UnevenUpdates_DocumentReachesAllInTime)
+{
+  for (size_t entries : { 3, 50 }) {
+    Fleet fleet(kSeed);
+    StartEntries(fleet, entries);
+    for (size_t i = 0; i < entries * 2; ++i) {
+      fleet.Start(1000 + i, InstanceRole::Agent);
+    }
+    fleet.Run(5s);
+    Submit(fleet, 1);
+    const Duration taken =
+      fleet.RunUntil(kInForce, [&] { return fleet.AllHold(1); });
+    BOOST_TEST(fleet.AllHold(1));
+    BOOST_TEST_MESSAGE(entries << " entry instances: "
+                               << taken / std::chrono::milliseconds(1)
+                               << " ms");
+  }
+}
+
+// Guards against a document that only the store can hand out.
+BOOST_AUTO_TEST_CASE(P10_StoreDown_DocumentSpreadsBetweenInstances)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 20);
+  fleet.Run(5s);
+  Submit(fleet, 1);
+  const auto anyHolds = [&] {
+    for (const auto& [address, core] : fleet.Cores()) {
+      if (core->Board().mDocument.Exists()) {
+        return true;
+      }
+    }
+    return false;
+  };
+  fleet.RunUntil(kInForce, anyHolds);
+  fleet.mStore.mDown = true;
+  fleet.RunUntil(kInForce, [&] { return fleet.AllHold(1); });
+  BOOST_TEST(fleet.AllHold(1));
+}
+
+// Guards against instances that follow a store back to an older state.
+BOOST_AUTO_TEST_CASE(P10_StoreRolledBackOrEmpty_NothingRevertsAndItIsRestored)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 3);
+  Submit(fleet, 7);
+  fleet.RunUntil(kInForce, [&] { return fleet.AllHold(7); });
+  Submit(fleet, 6);
+  fleet.Run(90s);
+  BOOST_TEST(fleet.AllHold(7));
+  BOOST_TEST(fleet.mStore.mObjects[kKey].mValue == "7/s");
+  fleet.mStore.mObjects.clear();
+  fleet.Run(90s);
+  BOOST_TEST(fleet.AllHold(7));
+  BOOST_TEST(fleet.mStore.mObjects[kKey].mValue == "7/s");
+  BOOST_TEST(fleet.Core(0).Board().mMembers.size() == 3U);
+}
+
+// Guards against a new instance that cannot start without the store.
+BOOST_AUTO_TEST_CASE(P10_StoreDownAtStart_NewInstanceLearnsFromSeeds)
+{
+  Fleet fleet(kSeed);
+  fleet.mOptions.mSeeds = { Fleet::At(0), Fleet::At(1) };
+  StartEntries(fleet, 3);
+  fleet.Start(1000, InstanceRole::Agent);
+  Submit(fleet, 2);
+  fleet.RunUntil(kInForce, [&] { return fleet.AllHold(2); });
+  fleet.mStore.mDown = true;
+  fleet.Start(3, InstanceRole::Entry);
+  fleet.Start(1001, InstanceRole::Agent);
+  fleet.RunUntil(kInForce, [&] {
+    return fleet.AllHold(2) && fleet.Core(3).Board().mMembers.size() == 6;
+  });
+  BOOST_TEST(fleet.AllHold(2));
+  BOOST_TEST(fleet.Core(3).Board().mMembers.size() == 6U);
+}
+
+// Guards against first packets that go to a dead agent for long, and against
+// live instances suspected with it.
+BOOST_AUTO_TEST_CASE(P1_AgentKilled_IsSuspectedEverywhereAndNobodyElse)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 12);
+  for (size_t i = 0; i < 20; ++i) {
+    fleet.Start(1000 + i, InstanceRole::Agent);
+  }
+  fleet.Run(10s);
+  fleet.Kill(1007);
+  fleet.RunUntil(kFewSeconds, [&] { return SuspectedBy(fleet, 1007) == 12; });
+  BOOST_TEST(SuspectedBy(fleet, 1007) == 12U);
+  for (size_t i = 0; i < 20; ++i) {
+    if (i != 7) {
+      BOOST_TEST(SuspectedBy(fleet, 1000 + i) == 0U);
+    }
+  }
+  fleet.Start(1007, InstanceRole::Agent, 2);
+  fleet.RunUntil(kFewSeconds, [&] { return SuspectedBy(fleet, 1007) == 0; });
+  BOOST_TEST(SuspectedBy(fleet, 1007) == 0U);
+}
+
+// Guards against one bad link condemning an instance that all others reach.
+BOOST_AUTO_TEST_CASE(P1_OneLinkCut_NoSuspicion)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 3);
+  fleet.Start(1000, InstanceRole::Agent);
+  fleet.Run(10s);
+  fleet.mCut = [](const Address& aFrom, const Address& aTo) {
+    return aFrom == Fleet::At(0) && aTo == Fleet::At(1000);
+  };
+  fleet.Run(20s);
+  BOOST_TEST(SuspectedBy(fleet, 1000) == 0U);
+}
+
+// Guards against a suspected instance that is forgotten and then kept alive
+// by peers that have not forgotten it yet.
+BOOST_AUTO_TEST_CASE(P1_AgentGone_RecordIsDroppedForGood)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 5);
+  fleet.Start(1000, InstanceRole::Agent);
+  fleet.Run(10s);
+  fleet.Kill(1000);
+  fleet.mStore.mObjects.erase("endpoints/1/" + ToString(Fleet::At(1000)));
+  fleet.Run(400s);
+  for (const auto& [address, core] : fleet.Cores()) {
+    BOOST_TEST(core->Board().mMembers.size() == 5U);
+    BOOST_TEST(core->Board().mDigest == fleet.Core(0).Board().mDigest);
+  }
+}
+
+// Guards against an agent that acts on a lease that lapsed while it was
+// paused.
+BOOST_AUTO_TEST_CASE(P8_FrozenPastLease_MayNotActUntilRenewed)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 1);
+  auto& agent = fleet.Start(1000, InstanceRole::Agent);
+  fleet.Run(10s);
+  BOOST_TEST(agent.MayAct(fleet.Now()));
+  fleet.Pause(1000);
+  fleet.Run(120s);
+  BOOST_TEST(!agent.MayAct(fleet.Now()));
+  fleet.Resume(1000);
+  fleet.Run(5s);
+  BOOST_TEST(agent.MayAct(fleet.Now()));
+}
+
+// Guards against a paused agent that comes back beside its successor.
+BOOST_AUTO_TEST_CASE(P7_FrozenAndReplaced_EarlierLifeIsFenced)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 1);
+  fleet.Start(1000, InstanceRole::Agent, 5);
+  fleet.Run(10s);
+  auto earlier = std::move(fleet.Cores().at(Fleet::At(1000)));
+  fleet.Start(1000, InstanceRole::Agent, 6);
+  fleet.Run(120s);
+  std::swap(earlier, fleet.Cores().at(Fleet::At(1000)));
+  fleet.Run(40s);
+  BOOST_TEST(!fleet.Core(1000).MayAct(fleet.Now()));
+  BOOST_TEST(fleet.Core(1000).Superseded());
+}
+
+// Guards against a renewal whose lost answer locks the agent out of its own
+// record.
+BOOST_AUTO_TEST_CASE(P8_LostAnswer_AnnouncementIsSettledByReadingBack)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 1);
+  fleet.mStore.mLoseAnswers = 2;
+  auto& agent = fleet.Start(1000, InstanceRole::Agent);
+  fleet.Run(10s);
+  BOOST_TEST(agent.MayAct(fleet.Now()));
+  BOOST_TEST(!agent.Superseded());
+}
+
+// Guards against a store outage that ends every lease.
+BOOST_AUTO_TEST_CASE(P1_StoreDown_ProbedAgentsKeepTheirLeases)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 3);
+  auto& agent = fleet.Start(1000, InstanceRole::Agent);
+  fleet.Run(10s);
+  fleet.mStore.mDown = true;
+  fleet.Run(600s);
+  BOOST_TEST(agent.MayAct(fleet.Now()));
+  BOOST_TEST(fleet.Core(0).Board().mMembers.size() == 4U);
+}
+
+// Guards against a herd on the store after an outage, and against reads that
+// grow with the fleet.
+BOOST_AUTO_TEST_CASE(P10_StoreBack_LoadOnTheStoreStaysWithinItsRates)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 50);
+  for (size_t i = 0; i < 200; ++i) {
+    fleet.Start(1000 + i, InstanceRole::Agent);
+  }
+  fleet.Run(60s);
+  fleet.mStore.mDown = true;
+  fleet.Run(60s);
+  fleet.mStore.mDown = false;
+  uint64_t mostReads = 0;
+  uint64_t mostWrites = 0;
+  for (int second = 0; second < 30; ++second) {
+    const uint64_t reads = fleet.mStore.mReads;
+    const uint64_t writes = fleet.mStore.mWrites;
+    fleet.Run(1s);
+    mostReads = std::max(mostReads, fleet.mStore.mReads - reads);
+    mostWrites = std::max(mostWrites, fleet.mStore.mWrites - writes);
+  }
+  BOOST_TEST_MESSAGE("most reads/s " << mostReads << ", writes/s "
+                                     << mostWrites);
+  // 250 of 4,010 instances may use 1/16 of 2,000 reads/s and 300 writes/s.
+  BOOST_TEST(mostReads <= 125U);
+  BOOST_TEST(mostWrites <= 19U);
+}
+
+// Guards against regions that disagree for good after they lost each other.
+BOOST_AUTO_TEST_CASE(P10_RegionsApart_ViewsAndDocumentConvergeAfterwards)
+{
+  Fleet fleet(kSeed);
+  StartEntries(fleet, 10);
+  Submit(fleet, 1);
+  fleet.RunUntil(kInForce, [&] { return fleet.AllHold(1); });
+  const auto side = [](const Address& aAddress) {
+    return aAddress < Fleet::At(5);
+  };
+  fleet.mCut = [side](const Address& aFrom, const Address& aTo) {
+    return side(aFrom) != side(aTo);
+  };
+  fleet.mStore.mDown = true;
+  fleet.Run(180s);
+  fleet.mStore.mDown = false;
+  fleet.mCut = [](const Address&, const Address&) { return false; };
+  Submit(fleet, 2);
+  fleet.Run(kInForce);
+  BOOST_TEST(fleet.AllHold(2));
+  fleet.Run(60s);
+  for (const auto& [address, core] : fleet.Cores()) {
+    BOOST_TEST(core->Board().mMembers.size() == 10U);
+    BOOST_TEST(core->Board().mSuspects.empty());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
