--- /dev/null
+++ b/include/snipepost/Ctl/ObjectStore.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <snipepost/Base/Types.h>
+
+namespace snipepost {
+
+enum class StoreOutcome
+{
+  Done,
+  /// The object's version is not the one that the condition names.
+  Conflict,
+  Absent,
+  /// Rate limit or outage; the call had no effect.
+  Refused,
+  /// No answer; a write may or may not have taken effect.
+  Unknown,
+};
+
+struct StoredObject
+{
+  std::string mKey;
+  ObjectVersion mVersion;
+  std::string mValue;
+};
+
+struct StoreAnswer
+{
+  StoreOutcome mOutcome = StoreOutcome::Unknown;
+  /// One object after a successful get, any number after a list.
+  std::vector<StoredObject> mObjects;
+};
+
+/// What snipepostctl needs of the platform's object API.
+class ObjectStore
+{
+public:
+  virtual ~ObjectStore() = default;
+
+  virtual StoreAnswer Get(const std::string& aKey) = 0;
+  virtual StoreAnswer List(const std::string& aPrefix) = 0;
+
+  /// Writes when the object has version aVersion or, without a version, when
+  /// it does not exist.
+  virtual StoreAnswer Put(const std::string& aKey,
+                          const std::string& aValue,
+                          std::optional<ObjectVersion> aVersion) = 0;
+};
+
+} // namespace snipepost
--- /dev/null
+++ b/include/snipepost/Document/Document.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <snipepost/Base/Address.h>
+#include <snipepost/Base/Types.h>
+
+namespace snipepost {
+
+enum class ServiceClass
+{
+  Interactive,
+  Bulk,
+};
+
+/// What happens to a backend server that no rule names: it is used at once, or
+/// it waits for an operator.
+enum class AdmissionMode
+{
+  Automatic,
+  Manual,
+};
+
+/// One service: the address callers use and the limits of each endpoint.
+struct Service
+{
+  ServiceId mId;
+  std::string mName;
+  Address mAddress;
+  ServiceClass mClass = ServiceClass::Interactive;
+  /// Requests in progress per endpoint.
+  uint32_t mSlots = 4;
+  /// Open flows per endpoint.
+  uint32_t mConnections = 2000;
+  /// Deadline of a request that brings none.
+  std::chrono::milliseconds mDeadline{ 5000 };
+  /// Time in which a cold endpoint's limit grows to mSlots.
+  std::chrono::seconds mRamp{ 20 };
+  /// Endpoints below which a document is refused.
+  uint32_t mMinEndpoints = 0;
+  AdmissionMode mAdmission = AdmissionMode::Automatic;
+
+  bool operator==(const Service&) const = default;
+};
+
+enum class DomainState
+{
+  In,
+  Out,
+};
+
+struct FailureDomain
+{
+  DomainId mId;
+  std::string mName;
+  DomainState mState = DomainState::In;
+  std::string mRegion;
+
+  bool operator==(const FailureDomain&) const = default;
+};
+
+enum class BackendState
+{
+  Admitted,
+  Draining,
+};
+
+/// An operator's decision about one backend server of one service.
+struct BackendRule
+{
+  ServiceId mService;
+  Address mAddress;
+  BackendState mState = BackendState::Admitted;
+
+  bool operator==(const BackendRule&) const = default;
+};
+
+enum class PlannedAction
+{
+  DomainOut,
+  DomainIn,
+  Drain,
+  Admit,
+};
+
+struct DomainTarget
+{
+  DomainId mDomain;
+
+  auto operator<=>(const DomainTarget&) const = default;
+};
+
+struct BackendTarget
+{
+  ServiceId mService;
+  Address mAddress;
+
+  auto operator<=>(const BackendTarget&) const = default;
+};
+
+/// A domain for DomainOut and DomainIn, a backend server for Drain and Admit.
+using PlannedTarget = std::variant<DomainTarget, BackendTarget>;
+
+/// A change that comes into force by itself at mAt.
+struct PlannedChange
+{
+  WallTime mAt;
+  PlannedAction mAction = PlannedAction::DomainOut;
+  PlannedTarget mTarget;
+
+  bool operator==(const PlannedChange&) const = default;
+};
+
+/// Who made this generation, when, from which one, and what changed.
+struct ChangeRecord
+{
+  std::string mBy;
+  WallTime mAt;
+  Generation mFrom;
+  std::vector<std::string> mChanges;
+
+  bool operator==(const ChangeRecord&) const = default;
+};
+
+/// The configuration of one deployment.
+struct Document
+{
+  std::string mDeployment;
+  Generation mGeneration;
+  SubmissionId mSubmission;
+  ChangeRecord mChange;
+  std::vector<Service> mServices;
+  std::vector<FailureDomain> mDomains;
+  std::vector<BackendRule> mBackends;
+  std::vector<PlannedChange> mPlanned;
+
+  bool operator==(const Document&) const = default;
+};
+
+/// A fault in a document and where it is (JSON pointer, RFC 6901).
+struct DocumentError
+{
+  std::string mPointer;
+  std::string mText;
+
+  bool operator==(const DocumentError&) const = default;
+};
+
+} // namespace snipepost
