--- /dev/null
+++ b/src/Document/Edit.cpp
@@ -0,0 +1,203 @@
+#include <snipepost/Document/Edit.h>
+
+#include <algorithm>
+#include <limits>
+
+#include <snipepost/Document/Effective.h>
+
+namespace snipepost {
+
+namespace {
+
+Parsed<Document>
+Failed(std::string aText)
+{
+  return { std::nullopt, { { "", std::move(aText) } } };
+}
+
+template<typename T>
+T*
+FindByName(std::vector<T>& aItems, const std::string& aName)
+{
+  const auto found = std::ranges::find(aItems, aName, &T::mName);
+  return found == aItems.end() ? nullptr : &*found;
+}
+
+/// The highest ID plus 1; nothing when the highest ID is the last one.
+template<typename T, typename Id>
+std::optional<Id>
+NextId(const std::vector<T>& aItems, Id T::*aMember)
+{
+  Id highest;
+  for (const T& item : aItems) {
+    highest = std::max(highest, item.*aMember);
+  }
+  using Rep = typename Id::Representation;
+  if (highest.Value() == std::numeric_limits<Rep>::max()) {
+    return std::nullopt;
+  }
+  return Id(static_cast<Rep>(highest.Value() + 1));
+}
+
+std::optional<PlannedTarget>
+ResolveTarget(Document& aDocument, const PlanText& aPlan)
+{
+  if (aPlan.mAction == PlannedAction::DomainOut ||
+      aPlan.mAction == PlannedAction::DomainIn) {
+    const auto* domain = FindByName(aDocument.mDomains, aPlan.mTarget);
+    if (!domain) {
+      return std::nullopt;
+    }
+    return DomainTarget{ domain->mId };
+  }
+  const size_t slash = aPlan.mTarget.find('/');
+  if (slash == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto* service =
+    FindByName(aDocument.mServices, aPlan.mTarget.substr(0, slash));
+  const auto address = ParseAddress(aPlan.mTarget.substr(slash + 1));
+  if (!service || !address) {
+    return std::nullopt;
+  }
+  return BackendTarget{ service->mId, *address };
+}
+
+/// One overload per edit. Each works on its own copy of the document.
+struct Editor
+{
+  Document mDocument;
+
+  Parsed<Document> Done() { return { std::move(mDocument), {} }; }
+
+  Parsed<Document> operator()(const AddService& aEdit)
+  {
+    if (FindByName(mDocument.mServices, aEdit.mName)) {
+      return Failed("service " + aEdit.mName + " exists");
+    }
+    Service service;
+    service.mName = aEdit.mName;
+    const auto id = NextId(mDocument.mServices, &Service::mId);
+    service.mId = id.value_or(ServiceId());
+    auto parsed = WithFields(service, aEdit.mFields);
+    if (!parsed.mValue) {
+      return { std::nullopt, std::move(parsed.mErrors) };
+    }
+    mDocument.mServices.push_back(*std::move(parsed.mValue));
+    return Done();
+  }
+
+  Parsed<Document> operator()(const RemoveService& aEdit)
+  {
+    const auto* service = FindByName(mDocument.mServices, aEdit.mName);
+    if (!service) {
+      return Failed("no service " + aEdit.mName);
+    }
+    const ServiceId id = service->mId;
+    std::erase_if(mDocument.mServices,
+                  [&](const auto& item) { return item.mId == id; });
+    std::erase_if(mDocument.mBackends,
+                  [&](const auto& rule) { return rule.mService == id; });
+    std::erase_if(mDocument.mPlanned, [&](const auto& change) {
+      const auto* target = std::get_if<BackendTarget>(&change.mTarget);
+      return target && target->mService == id;
+    });
+    return Done();
+  }
+
+  Parsed<Document> operator()(const SetService& aEdit)
+  {
+    auto* service = FindByName(mDocument.mServices, aEdit.mName);
+    if (!service) {
+      return Failed("no service " + aEdit.mName);
+    }
+    auto parsed = WithFields(*service, aEdit.mFields);
+    if (!parsed.mValue) {
+      return { std::nullopt, std::move(parsed.mErrors) };
+    }
+    if (parsed.mValue->mId != service->mId) {
+      return Failed("the ID of a service is part of open flows and can't "
+                    "change; remove the service and add another");
+    }
+    *service = *std::move(parsed.mValue);
+    return Done();
+  }
+
+  Parsed<Document> operator()(const AddDomain& aEdit)
+  {
+    if (FindByName(mDocument.mDomains, aEdit.mName)) {
+      return Failed("failure domain " + aEdit.mName + " exists");
+    }
+    const auto id =
+      aEdit.mId ? aEdit.mId : NextId(mDocument.mDomains, &FailureDomain::mId);
+    mDocument.mDomains.push_back(
+      { id.value_or(DomainId()), aEdit.mName, DomainState::In, aEdit.mRegion });
+    return Done();
+  }
+
+  Parsed<Document> operator()(const SetDomain& aEdit)
+  {
+    auto* domain = FindByName(mDocument.mDomains, aEdit.mName);
+    if (!domain) {
+      return Failed("no failure domain " + aEdit.mName);
+    }
+    domain->mState = aEdit.mState;
+    return Done();
+  }
+
+  Parsed<Document> operator()(const SetBackend& aEdit)
+  {
+    const auto* service = FindByName(mDocument.mServices, aEdit.mService);
+    if (!service) {
+      return Failed("no service " + aEdit.mService);
+    }
+    const auto rule =
+      std::ranges::find_if(mDocument.mBackends, [&](const auto& item) {
+        return item.mService == service->mId && item.mAddress == aEdit.mAddress;
+      });
+    if (rule != mDocument.mBackends.end()) {
+      rule->mState = aEdit.mState;
+    } else {
+      mDocument.mBackends.push_back(
+        { service->mId, aEdit.mAddress, aEdit.mState });
+    }
+    return Done();
+  }
+
+  Parsed<Document> operator()(const AddPlanned& aEdit)
+  {
+    const auto target = ResolveTarget(mDocument, aEdit.mPlan);
+    if (!target) {
+      return Failed("no target " + aEdit.mPlan.mTarget + " for this action");
+    }
+    const PlannedChange change{ aEdit.mPlan.mAt, aEdit.mPlan.mAction, *target };
+    if (std::ranges::count(mDocument.mPlanned, change) > 0) {
+      return Failed("this change is planned already");
+    }
+    mDocument.mPlanned.push_back(change);
+    return Done();
+  }
+
+  Parsed<Document> operator()(const RemovePlanned& aEdit)
+  {
+    const auto target = ResolveTarget(mDocument, aEdit.mPlan);
+    if (!target) {
+      return Failed("no target " + aEdit.mPlan.mTarget + " for this action");
+    }
+    const PlannedChange change{ aEdit.mPlan.mAt, aEdit.mPlan.mAction, *target };
+    if (std::erase(mDocument.mPlanned, change) == 0) {
+      return Failed("no such planned change; it may be in force already");
+    }
+    return Done();
+  }
+};
+
+} // namespace
+
+Parsed<Document>
+ApplyEdit(const Document& aDocument, const Edit& aEdit, WallTime aNow)
+{
+  return std::visit(Editor{ WithDueChangesApplied(aDocument, aNow) }, aEdit);
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Document/Effective.cpp
@@ -0,0 +1,129 @@
+#include <snipepost/Document/Effective.h>
+
+#include <algorithm>
+
+namespace snipepost {
+
+namespace {
+
+/// Applies planned changes to the two kinds of targets.
+struct Apply
+{
+  EffectiveConfig& mConfig;
+  PlannedAction mAction;
+
+  void operator()(const DomainTarget& aTarget) const
+  {
+    const auto found = mConfig.mDomains.find(aTarget.mDomain);
+    if (found != mConfig.mDomains.end()) {
+      found->second.mState = mAction == PlannedAction::DomainOut
+                               ? DomainState::Out
+                               : DomainState::In;
+    }
+  }
+
+  void operator()(const BackendTarget& aTarget) const
+  {
+    mConfig.mRules[aTarget] = mAction == PlannedAction::Drain
+                                ? BackendState::Draining
+                                : BackendState::Admitted;
+  }
+};
+
+std::vector<PlannedChange>
+DueChanges(const Document& aDocument, WallTime aNow)
+{
+  std::vector<PlannedChange> due;
+  for (const auto& change : aDocument.mPlanned) {
+    if (change.mAt <= aNow) {
+      due.push_back(change);
+    }
+  }
+  std::ranges::stable_sort(due, {}, &PlannedChange::mAt);
+  return due;
+}
+
+} // namespace
+
+bool
+EffectiveConfig::IsIn(DomainId aDomain) const
+{
+  const auto found = mDomains.find(aDomain);
+  return found != mDomains.end() && found->second.mState == DomainState::In;
+}
+
+BackendStanding
+EffectiveConfig::Standing(const BackendTarget& aBackend) const
+{
+  const auto service = mServices.find(aBackend.mService);
+  if (service == mServices.end()) {
+    return BackendStanding::UnknownService;
+  }
+  const auto rule = mRules.find(aBackend);
+  if (rule != mRules.end()) {
+    return rule->second == BackendState::Admitted ? BackendStanding::Admitted
+                                                  : BackendStanding::Draining;
+  }
+  return service->second.mAdmission == AdmissionMode::Automatic
+           ? BackendStanding::Admitted
+           : BackendStanding::Waiting;
+}
+
+EffectiveConfig
+EffectiveAt(const Document& aDocument, WallTime aNow)
+{
+  EffectiveConfig config;
+  config.mGeneration = aDocument.mGeneration;
+  config.mSubmission = aDocument.mSubmission;
+  for (const auto& service : aDocument.mServices) {
+    config.mServices.emplace(service.mId, service);
+  }
+  for (const auto& domain : aDocument.mDomains) {
+    config.mDomains.emplace(domain.mId, domain);
+  }
+  for (const auto& rule : aDocument.mBackends) {
+    config.mRules[{ rule.mService, rule.mAddress }] = rule.mState;
+  }
+  for (const auto& change : DueChanges(aDocument, aNow)) {
+    std::visit(Apply{ config, change.mAction }, change.mTarget);
+  }
+  return config;
+}
+
+std::optional<WallTime>
+NextChangeAfter(const Document& aDocument, WallTime aNow)
+{
+  std::optional<WallTime> next;
+  for (const auto& change : aDocument.mPlanned) {
+    if (change.mAt > aNow && (!next || change.mAt < *next)) {
+      next = change.mAt;
+    }
+  }
+  return next;
+}
+
+Document
+WithDueChangesApplied(const Document& aDocument, WallTime aNow)
+{
+  const EffectiveConfig config = EffectiveAt(aDocument, aNow);
+  Document result = aDocument;
+  std::erase_if(result.mPlanned,
+                [&](const auto& change) { return change.mAt <= aNow; });
+  for (auto& domain : result.mDomains) {
+    domain.mState = config.mDomains.at(domain.mId).mState;
+  }
+  auto rules = config.mRules;
+  for (auto& rule : result.mBackends) {
+    const auto found = rules.find({ rule.mService, rule.mAddress });
+    if (found != rules.end()) {
+      rule.mState = found->second;
+      rules.erase(found);
+    }
+  }
+  for (const auto& [target, state] : rules) {
+    result.mBackends.push_back({ target.mService, target.mAddress, state });
+  }
+  return result;
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Document/Holding.cpp
@@ -0,0 +1,168 @@
+#include "src/Document/Holding.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+
+#include <snipepost/Document/Effective.h>
+#include <snipepost/Document/Time.h>
+
+namespace snipepost {
+
+namespace {
+
+/// What is usable of one service at one time.
+struct Supply
+{
+  uint64_t mEndpoints = 0;
+  uint64_t mCold = 0;
+  uint64_t mSlots = 0;
+};
+
+/// Follows a document through time and remembers which services are short.
+class HoldingCheck
+{
+public:
+  HoldingCheck(const Document& aDocument,
+               const ValidationContext& aContext,
+               std::vector<DocumentError>& aErrors)
+    : mDocument(aDocument)
+    , mContext(aContext)
+    , mErrors(aErrors)
+  {
+  }
+
+  void Run()
+  {
+    Step(mContext.mNow, "");
+    auto at = NextChangeAfter(mDocument, mContext.mNow);
+    while (at && *at <= mContext.mHorizon) {
+      Step(*at, PointerOf(*at));
+      at = NextChangeAfter(mDocument, *at);
+    }
+  }
+
+private:
+  std::string PointerOf(WallTime aAt) const
+  {
+    const auto found =
+      std::ranges::find(mDocument.mPlanned, aAt, &PlannedChange::mAt);
+    return "/plannedChanges/" +
+           std::to_string(found - mDocument.mPlanned.begin());
+  }
+
+  void Step(WallTime aAt, const std::string& aPointer)
+  {
+    const EffectiveConfig config = EffectiveAt(mDocument, aAt);
+    auto supplies =
+      mContext.mEndpoints ? CountAnnounced(config, aAt) : BoundByRules(config);
+    for (size_t i = 0; i < mDocument.mServices.size(); ++i) {
+      const Service& service = mDocument.mServices[i];
+      const std::string text = Shortage(service, supplies[service.mId]);
+      if (text.empty()) {
+        mShort.erase(service.mId);
+      } else if (mShort.insert(service.mId).second) {
+        const auto pointer =
+          aPointer.empty() ? "/services/" + std::to_string(i) + "/minEndpoints"
+                           : aPointer;
+        mErrors.push_back({ pointer,
+                            "service " + service.mName + " at " +
+                              ToString(aAt) + ": " + text });
+      }
+    }
+  }
+
+  /// Counts announced endpoints; those usable since the first step are warm.
+  std::map<ServiceId, Supply> CountAnnounced(const EffectiveConfig& aConfig,
+                                             WallTime aAt)
+  {
+    std::map<ServiceId, Supply> supplies;
+    for (const auto& endpoint : *mContext.mEndpoints) {
+      const auto standing = aConfig.Standing(endpoint.mBackend);
+      if (standing != BackendStanding::Admitted ||
+          !aConfig.IsIn(endpoint.mDomain)) {
+        mUsableSince.erase(endpoint.mBackend);
+        continue;
+      }
+      const auto warm = aAt == mContext.mNow ? WallTime::min() : aAt;
+      const auto since =
+        mUsableSince.emplace(endpoint.mBackend, warm).first->second;
+      const Service& service = aConfig.mServices.at(endpoint.mBackend.mService);
+      Supply& supply = supplies[service.mId];
+      ++supply.mEndpoints;
+      if (since != WallTime::min() && aAt - since < service.mRamp) {
+        ++supply.mCold;
+        ++supply.mSlots;
+      } else {
+        supply.mSlots += std::min(endpoint.mSlots, service.mSlots);
+      }
+    }
+    return supplies;
+  }
+
+  /// Without a list: the most that the rules and failure domains allow.
+  std::map<ServiceId, Supply> BoundByRules(const EffectiveConfig& aConfig) const
+  {
+    const bool anyIn =
+      std::ranges::any_of(aConfig.mDomains, [&](const auto& item) {
+        return aConfig.IsIn(item.first);
+      });
+    std::map<ServiceId, Supply> supplies;
+    for (const auto& [id, service] : aConfig.mServices) {
+      Supply& supply = supplies[id];
+      if (anyIn && service.mAdmission == AdmissionMode::Automatic) {
+        supply.mEndpoints = std::numeric_limits<uint16_t>::max();
+      } else if (anyIn) {
+        supply.mEndpoints =
+          std::ranges::count_if(aConfig.mRules, [&](const auto& rule) {
+            return rule.first.mService == id &&
+                   rule.second == BackendState::Admitted;
+          });
+      }
+      supply.mSlots = supply.mEndpoints * service.mSlots;
+    }
+    return supplies;
+  }
+
+  static std::string Shortage(const Service& aService, const Supply& aSupply)
+  {
+    const uint64_t needed =
+      uint64_t{ aService.mMinEndpoints } * aService.mSlots;
+    std::string text;
+    if (aSupply.mEndpoints < aService.mMinEndpoints) {
+      text = std::to_string(aSupply.mEndpoints) +
+             " usable endpoints, minEndpoints is " +
+             std::to_string(aService.mMinEndpoints);
+    }
+    if (aSupply.mSlots < needed) {
+      text += (text.empty() ? "" : "; ") + std::string("capacity ") +
+              std::to_string(aSupply.mSlots) + " slots (" +
+              std::to_string(aSupply.mEndpoints) + " endpoints, " +
+              std::to_string(aSupply.mCold) + " of them cold), needs " +
+              std::to_string(needed) + " (" +
+              std::to_string(aService.mMinEndpoints) + " x " +
+              std::to_string(aService.mSlots) + ")";
+    }
+    return text;
+  }
+
+  const Document& mDocument;
+  const ValidationContext& mContext;
+  std::vector<DocumentError>& mErrors;
+  std::map<BackendTarget, WallTime> mUsableSince;
+  std::set<ServiceId> mShort;
+};
+
+} // namespace
+
+void
+CheckHolding(const Document& aDocument,
+             const ValidationContext& aContext,
+             std::vector<DocumentError>& aErrors)
+{
+  HoldingCheck(aDocument, aContext, aErrors).Run();
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Document/StructureScan.cpp
@@ -0,0 +1,136 @@
+#include "src/Document/StructureScan.h"
+
+#include <set>
+#include <string>
+
+#include <boost/json/basic_parser_impl.hpp>
+
+#include <snipepost/Document/Codec.h>
+
+#include "src/Document/JsonReader.h"
+
+namespace snipepost {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Nesting at which the scan stops; between the two limits it goes on, so that
+/// further errors are found.
+constexpr size_t kScanDepth = 64;
+
+/// Handler of Boost.JSON's event parser; its names are given by that interface.
+// NOLINTBEGIN(readability-identifier-naming)
+struct Handler
+{
+  static constexpr size_t max_object_size = -1;
+  static constexpr size_t max_array_size = -1;
+  static constexpr size_t max_key_size = -1;
+  static constexpr size_t max_string_size = -1;
+
+  using Error = json::error_code;
+
+  bool on_document_begin(Error&) { return true; }
+  bool on_document_end(Error&) { return true; }
+  bool on_object_begin(Error&) { return Open(false); }
+  bool on_object_end(size_t, Error&) { return Close(); }
+  bool on_array_begin(Error&) { return Open(true); }
+  bool on_array_end(size_t, Error&) { return Close(); }
+  bool on_key_part(json::string_view aPart, size_t, Error&)
+  {
+    mKey.append(aPart.data(), aPart.size());
+    return true;
+  }
+  bool on_key(json::string_view aPart, size_t, Error&)
+  {
+    mKey.append(aPart.data(), aPart.size());
+    mFrames.back().mToken = PointerToken(mKey);
+    if (!mFrames.back().mKeys.insert(mKey).second) {
+      mErrors.push_back({ Pointer(), "repeated name" });
+    }
+    mKey.clear();
+    return true;
+  }
+  bool on_string_part(json::string_view, size_t, Error&) { return true; }
+  bool on_string(json::string_view, size_t, Error&) { return Value(); }
+  bool on_number_part(json::string_view, Error&) { return true; }
+  bool on_int64(int64_t, json::string_view, Error&) { return Value(); }
+  bool on_uint64(uint64_t, json::string_view, Error&) { return Value(); }
+  bool on_double(double, json::string_view, Error&) { return Value(); }
+  bool on_bool(bool, Error&) { return Value(); }
+  bool on_null(Error&) { return Value(); }
+  bool on_comment_part(json::string_view, Error&) { return true; }
+  bool on_comment(json::string_view, Error&) { return true; }
+
+  struct Frame
+  {
+    bool mArray = false;
+    size_t mIndex = 0;
+    std::string mToken;
+    std::set<std::string> mKeys;
+  };
+
+  bool Open(bool aArray)
+  {
+    if (mFrames.size() == kMaxDocumentDepth) {
+      mErrors.push_back(
+        { Pointer(),
+          "nested deeper than " + std::to_string(kMaxDocumentDepth) });
+    }
+    mFrames.push_back({ aArray, 0, {}, {} });
+    return true;
+  }
+
+  bool Close()
+  {
+    mFrames.pop_back();
+    return Value();
+  }
+
+  bool Value()
+  {
+    if (!mFrames.empty()) {
+      ++mFrames.back().mIndex;
+    }
+    return true;
+  }
+
+  std::string Pointer() const
+  {
+    std::string pointer;
+    for (const Frame& frame : mFrames) {
+      pointer += "/";
+      pointer += frame.mArray ? std::to_string(frame.mIndex) : frame.mToken;
+    }
+    return pointer;
+  }
+
+  std::string mKey;
+  std::vector<Frame> mFrames;
+  std::vector<DocumentError> mErrors;
+};
+// NOLINTEND(readability-identifier-naming)
+
+} // namespace
+
+std::vector<DocumentError>
+ScanStructure(std::string_view aText)
+{
+  json::parse_options options;
+  options.max_depth = kScanDepth;
+  json::basic_parser<Handler> parser(options);
+  json::error_code error;
+  const size_t used =
+    parser.write_some(false, aText.data(), aText.size(), error);
+  auto& handler = parser.handler();
+  const auto where = " at byte " + std::to_string(used);
+  if (error) {
+    handler.mErrors.push_back(
+      { handler.Pointer(), "syntax error: " + error.message() + where });
+  } else if (used < aText.size()) {
+    handler.mErrors.push_back({ "", "text after the document" + where });
+  }
+  return std::move(handler.mErrors);
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Document/StructureScan.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include <snipepost/Document/Document.h>
+
+namespace snipepost {
+
+/// Reads JSON text once without building values and returns what a parsed
+/// value no longer shows: repeated names in an object, nesting deeper than
+/// kMaxDocumentDepth, and a syntax error with its position.
+std::vector<DocumentError>
+ScanStructure(std::string_view aText);
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Document/Validate.cpp
@@ -0,0 +1,212 @@
+#include <snipepost/Document/Validate.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "src/Document/Holding.h"
+
+namespace snipepost {
+
+namespace {
+
+/// Names are parts of object keys and of command lines.
+constexpr size_t kMaxNameBytes = 64;
+
+using Errors = std::vector<DocumentError>;
+
+struct Range
+{
+  const char* mKey;
+  uint64_t (*mValue)(const Service&);
+  uint64_t mMin;
+  uint64_t mMax;
+};
+
+// The slot and connection limits bound the agent's memory; a deadline over a
+// day or a ramp over an hour is taken for a mistake in the unit.
+constexpr Range kServiceRanges[] = {
+  { "id",
+    [](const Service& s) -> uint64_t { return s.mId.Value(); },
+    1,
+    65535 },
+  { "slots", [](const Service& s) -> uint64_t { return s.mSlots; }, 1, 4096 },
+  { "connections",
+    [](const Service& s) -> uint64_t { return s.mConnections; },
+    1,
+    1000000 },
+  { "deadlineMs",
+    [](const Service& s) -> uint64_t { return s.mDeadline.count(); },
+    1,
+    86400000 },
+  { "rampSeconds",
+    [](const Service& s) -> uint64_t { return s.mRamp.count(); },
+    0,
+    3600 },
+  { "minEndpoints",
+    [](const Service& s) -> uint64_t { return s.mMinEndpoints; },
+    0,
+    65535 },
+};
+
+std::string
+At(const char* aList, size_t aIndex, const char* aField)
+{
+  return std::string("/") + aList + "/" + std::to_string(aIndex) + aField;
+}
+
+void
+CheckName(const std::string& aName, std::string aPointer, Errors& aErrors)
+{
+  const bool legal = std::ranges::all_of(aName, [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  });
+  if (aName.empty() || aName.size() > kMaxNameBytes || !legal) {
+    aErrors.push_back(
+      { std::move(aPointer), "must be 1 to 64 characters of a-z, 0-9 and -" });
+  }
+}
+
+/// Reports a value that an earlier item of the same list has already.
+template<typename T>
+void
+CheckUnique(std::map<T, size_t>& aSeen,
+            const T& aValue,
+            size_t aIndex,
+            std::string aPointer,
+            Errors& aErrors)
+{
+  const auto [seen, isNew] = aSeen.emplace(aValue, aIndex);
+  if (!isNew) {
+    aErrors.push_back(
+      { std::move(aPointer), "repeats item " + std::to_string(seen->second) });
+  }
+}
+
+void
+CheckServices(const Document& aDocument, Errors& aErrors)
+{
+  std::map<ServiceId, size_t> ids;
+  std::map<std::string, size_t> names;
+  std::map<Address, size_t> addresses;
+  const char* list = "services";
+  for (size_t i = 0; i < aDocument.mServices.size(); ++i) {
+    const Service& service = aDocument.mServices[i];
+    CheckName(service.mName, At(list, i, "/name"), aErrors);
+    CheckUnique(ids, service.mId, i, At(list, i, "/id"), aErrors);
+    CheckUnique(names, service.mName, i, At(list, i, "/name"), aErrors);
+    CheckUnique(
+      addresses, service.mAddress, i, At(list, i, "/address"), aErrors);
+    for (const Range& range : kServiceRanges) {
+      const uint64_t value = range.mValue(service);
+      if (value < range.mMin || value > range.mMax) {
+        aErrors.push_back({ At(list, i, "/") + range.mKey,
+                            "is " + std::to_string(value) + ", must be from " +
+                              std::to_string(range.mMin) + " to " +
+                              std::to_string(range.mMax) });
+      }
+    }
+  }
+}
+
+void
+CheckDomains(const Document& aDocument, Errors& aErrors)
+{
+  std::map<DomainId, size_t> ids;
+  std::map<std::string, size_t> names;
+  const char* list = "failureDomains";
+  for (size_t i = 0; i < aDocument.mDomains.size(); ++i) {
+    const FailureDomain& domain = aDocument.mDomains[i];
+    CheckName(domain.mName, At(list, i, "/name"), aErrors);
+    CheckName(domain.mRegion, At(list, i, "/region"), aErrors);
+    CheckUnique(ids, domain.mId, i, At(list, i, "/id"), aErrors);
+    CheckUnique(names, domain.mName, i, At(list, i, "/name"), aErrors);
+    if (domain.mId.Value() == 0) {
+      aErrors.push_back({ At(list, i, "/id"), "is 0, must be from 1 to 255" });
+    }
+  }
+}
+
+bool
+HasService(const Document& aDocument, ServiceId aId)
+{
+  return std::ranges::count(aDocument.mServices, aId, &Service::mId) > 0;
+}
+
+void
+CheckBackends(const Document& aDocument, Errors& aErrors)
+{
+  std::map<BackendTarget, size_t> seen;
+  const char* list = "backends";
+  for (size_t i = 0; i < aDocument.mBackends.size(); ++i) {
+    const BackendRule& rule = aDocument.mBackends[i];
+    const BackendTarget target{ rule.mService, rule.mAddress };
+    CheckUnique(seen, target, i, At(list, i, ""), aErrors);
+    if (!HasService(aDocument, rule.mService)) {
+      aErrors.push_back(
+        { At(list, i, "/service"),
+          "no service has ID " + std::to_string(rule.mService.Value()) });
+    }
+  }
+}
+
+void
+CheckTarget(const Document& aDocument,
+            const PlannedChange& aChange,
+            const std::string& aPointer,
+            Errors& aErrors)
+{
+  const bool forDomain = aChange.mAction == PlannedAction::DomainOut ||
+                         aChange.mAction == PlannedAction::DomainIn;
+  const auto* domain = std::get_if<DomainTarget>(&aChange.mTarget);
+  if (forDomain != (domain != nullptr)) {
+    aErrors.push_back({ aPointer,
+                        forDomain ? "this action needs a failure domain"
+                                  : "this action needs a backend server" });
+    return;
+  }
+  if (domain && std::ranges::count(aDocument.mDomains,
+                                   domain->mDomain,
+                                   &FailureDomain::mId) == 0) {
+    aErrors.push_back({ aPointer + "/domain",
+                        "no failure domain has ID " +
+                          std::to_string(domain->mDomain.Value()) });
+  }
+  const auto* backend = std::get_if<BackendTarget>(&aChange.mTarget);
+  if (backend && !HasService(aDocument, backend->mService)) {
+    aErrors.push_back(
+      { aPointer + "/service",
+        "no service has ID " + std::to_string(backend->mService.Value()) });
+  }
+}
+
+void
+CheckPlanned(const Document& aDocument, Errors& aErrors)
+{
+  std::map<std::pair<WallTime, PlannedTarget>, size_t> seen;
+  const char* list = "plannedChanges";
+  for (size_t i = 0; i < aDocument.mPlanned.size(); ++i) {
+    const PlannedChange& change = aDocument.mPlanned[i];
+    CheckTarget(aDocument, change, At(list, i, "/target"), aErrors);
+    // Two changes of one target at one time would depend on list order.
+    CheckUnique(
+      seen, std::pair(change.mAt, change.mTarget), i, At(list, i, ""), aErrors);
+  }
+}
+
+} // namespace
+
+Errors
+Validate(const Document& aDocument, const ValidationContext& aContext)
+{
+  Errors errors;
+  CheckName(aDocument.mDeployment, "/deployment", errors);
+  CheckServices(aDocument, errors);
+  CheckDomains(aDocument, errors);
+  CheckBackends(aDocument, errors);
+  CheckPlanned(aDocument, errors);
+  CheckHolding(aDocument, aContext, errors);
+  return errors;
+}
+
+} // namespace snipepost
