--- a/include/snipepost/Document/Codec.h
+++ b/include/snipepost/Document/Codec.h
@@ -12,7 +12,7 @@
 namespace snipepost {
 
 /// Size limit of a value in the platform's object API, in bytes.
-constexpr size_t kMaxDocumentBytes = 1024 * 1024;
+constexpr size_t kMaxDocumentBytes = size_t{ 1024 } * 1024;
 
 /// Longest string in a document, in bytes.
 constexpr size_t kMaxStringBytes = 512;
--- a/include/snipepost/Document/Document.h
+++ b/include/snipepost/Document/Document.h
@@ -91,6 +91,7 @@
 {
   DomainId mDomain;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads <=>.
   auto operator<=>(const DomainTarget&) const = default;
 };
 
@@ -99,6 +100,7 @@
   ServiceId mService;
   Address mAddress;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads <=>.
   auto operator<=>(const BackendTarget&) const = default;
 };
 
--- a/include/snipepost/Document/Order.h
+++ b/include/snipepost/Document/Order.h
@@ -13,6 +13,7 @@
   Generation mGeneration;
   SubmissionId mSubmission;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads <=>.
   auto operator<=>(const DocumentOrder&) const = default;
 };
 
--- a/src/Document/Diff.cpp
+++ b/src/Document/Diff.cpp
@@ -60,13 +60,15 @@
 PartsOf(const Document& aDocument)
 {
   Parts parts;
-  const auto add = [&](std::string key, std::string title, json::value value) {
-    // Invalid documents may repeat a key; each part is still compared.
-    while (parts.contains(key)) {
-      key += " (repeated)";
-    }
-    parts[std::move(key)] = { std::move(title), std::move(value.get_object()) };
-  };
+  const auto add =
+    [&](std::string aKey, std::string aTitle, json::value aValue) {
+      // Invalid documents may repeat a key; each part is still compared.
+      while (parts.contains(aKey)) {
+        aKey += " (repeated)";
+      }
+      parts[std::move(aKey)] = { std::move(aTitle),
+                                 std::move(aValue.get_object()) };
+    };
   for (const auto& service : aDocument.mServices) {
     add("service " + std::to_string(service.mId.Value()),
         "service " + service.mName,
--- a/src/Document/Edit.cpp
+++ b/src/Document/Edit.cpp
@@ -95,11 +95,11 @@
     }
     const ServiceId id = service->mId;
     std::erase_if(mDocument.mServices,
-                  [&](const auto& item) { return item.mId == id; });
+                  [&](const auto& aItem) { return aItem.mId == id; });
     std::erase_if(mDocument.mBackends,
-                  [&](const auto& rule) { return rule.mService == id; });
-    std::erase_if(mDocument.mPlanned, [&](const auto& change) {
-      const auto* target = std::get_if<BackendTarget>(&change.mTarget);
+                  [&](const auto& aRule) { return aRule.mService == id; });
+    std::erase_if(mDocument.mPlanned, [&](const auto& aChange) {
+      const auto* target = std::get_if<BackendTarget>(&aChange.mTarget);
       return target && target->mService == id;
     });
     return Done();
@@ -152,8 +152,9 @@
       return Failed("no service " + aEdit.mService);
     }
     const auto rule =
-      std::ranges::find_if(mDocument.mBackends, [&](const auto& item) {
-        return item.mService == service->mId && item.mAddress == aEdit.mAddress;
+      std::ranges::find_if(mDocument.mBackends, [&](const auto& aItem) {
+        return aItem.mService == service->mId &&
+               aItem.mAddress == aEdit.mAddress;
       });
     if (rule != mDocument.mBackends.end()) {
       rule->mState = aEdit.mState;
--- a/src/Document/Effective.cpp
+++ b/src/Document/Effective.cpp
@@ -108,7 +108,7 @@
   const EffectiveConfig config = EffectiveAt(aDocument, aNow);
   Document result = aDocument;
   std::erase_if(result.mPlanned,
-                [&](const auto& change) { return change.mAt <= aNow; });
+                [&](const auto& aChange) { return aChange.mAt <= aNow; });
   for (auto& domain : result.mDomains) {
     domain.mState = config.mDomains.at(domain.mId).mState;
   }
--- a/src/Document/Holding.cpp
+++ b/src/Document/Holding.cpp
@@ -106,19 +106,20 @@
   std::map<ServiceId, Supply> BoundByRules(const EffectiveConfig& aConfig) const
   {
     const bool anyIn =
-      std::ranges::any_of(aConfig.mDomains, [&](const auto& item) {
-        return aConfig.IsIn(item.first);
+      std::ranges::any_of(aConfig.mDomains, [&](const auto& aItem) {
+        return aConfig.IsIn(aItem.first);
       });
     std::map<ServiceId, Supply> supplies;
-    for (const auto& [id, service] : aConfig.mServices) {
-      Supply& supply = supplies[id];
+    for (const auto& item : aConfig.mServices) {
+      const Service& service = item.second;
+      Supply& supply = supplies[item.first];
       if (anyIn && service.mAdmission == AdmissionMode::Automatic) {
         supply.mEndpoints = std::numeric_limits<uint16_t>::max();
       } else if (anyIn) {
         supply.mEndpoints =
-          std::ranges::count_if(aConfig.mRules, [&](const auto& rule) {
-            return rule.first.mService == id &&
-                   rule.second == BackendState::Admitted;
+          std::ranges::count_if(aConfig.mRules, [&](const auto& aRule) {
+            return aRule.first.mService == item.first &&
+                   aRule.second == BackendState::Admitted;
           });
       }
       supply.mSlots = supply.mEndpoints * service.mSlots;
--- a/src/Document/JsonReader.h
+++ b/src/Document/JsonReader.h
@@ -95,10 +95,10 @@
     }
     const auto& object = aValue.get_object();
     std::apply(
-      [&](const auto&... field) {
-        (ReadField(object, field, aOut), ...);
+      [&](const auto&... aFields) {
+        (ReadField(object, aFields, aOut), ...);
         for (const auto& item : object) {
-          if (!((item.key() == field.mKey) || ...)) {
+          if (!((item.key() == aFields.mKey) || ...)) {
             const Scope scope(*this, item.key());
             Report("unknown field");
           }
--- a/src/Document/JsonWriter.h
+++ b/src/Document/JsonWriter.h
@@ -34,7 +34,8 @@
   }
   static boost::json::value Write(const PlannedTarget& aValue)
   {
-    return std::visit([](const auto& target) { return Write(target); }, aValue);
+    return std::visit([](const auto& aTarget) { return Write(aTarget); },
+                      aValue);
   }
 
   template<std::unsigned_integral I>
@@ -83,8 +84,8 @@
   {
     boost::json::object object;
     std::apply(
-      [&](const auto&... field) {
-        (object.emplace(field.mKey, Write(aValue.*field.mMember)), ...);
+      [&](const auto&... aFields) {
+        (object.emplace(aFields.mKey, Write(aValue.*aFields.mMember)), ...);
       },
       Schema<T>::kFields);
     return object;
--- a/src/Document/Schema.h
+++ b/src/Document/Schema.h
@@ -19,6 +19,12 @@
   bool mRequired = false;
 };
 
+template<typename T, typename M>
+Field(const char*, M T::*) -> Field<T, M>;
+
+template<typename T, typename M>
+Field(const char*, M T::*, bool) -> Field<T, M>;
+
 /// Specialised per struct: kFields, in the order in which they are written.
 template<typename T>
 struct Schema;
--- a/src/Document/Validate.cpp
+++ b/src/Document/Validate.cpp
@@ -27,24 +27,29 @@
 // day or a ramp over an hour is taken for a mistake in the unit.
 constexpr Range kServiceRanges[] = {
   { "id",
-    [](const Service& s) -> uint64_t { return s.mId.Value(); },
+    [](const Service& aService) -> uint64_t { return aService.mId.Value(); },
     1,
     65535 },
-  { "slots", [](const Service& s) -> uint64_t { return s.mSlots; }, 1, 4096 },
+  { "slots",
+    [](const Service& aService) -> uint64_t { return aService.mSlots; },
+    1,
+    4096 },
   { "connections",
-    [](const Service& s) -> uint64_t { return s.mConnections; },
+    [](const Service& aService) -> uint64_t { return aService.mConnections; },
     1,
     1000000 },
   { "deadlineMs",
-    [](const Service& s) -> uint64_t { return s.mDeadline.count(); },
+    [](const Service& aService) -> uint64_t {
+      return aService.mDeadline.count();
+    },
     1,
     86400000 },
   { "rampSeconds",
-    [](const Service& s) -> uint64_t { return s.mRamp.count(); },
+    [](const Service& aService) -> uint64_t { return aService.mRamp.count(); },
     0,
     3600 },
   { "minEndpoints",
-    [](const Service& s) -> uint64_t { return s.mMinEndpoints; },
+    [](const Service& aService) -> uint64_t { return aService.mMinEndpoints; },
     0,
     65535 },
 };
@@ -58,8 +63,9 @@
 void
 CheckName(const std::string& aName, std::string aPointer, Errors& aErrors)
 {
-  const bool legal = std::ranges::all_of(aName, [](char c) {
-    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  const bool legal = std::ranges::all_of(aName, [](char aChar) {
+    return (aChar >= 'a' && aChar <= 'z') || (aChar >= '0' && aChar <= '9') ||
+           aChar == '-';
   });
   if (aName.empty() || aName.size() > kMaxNameBytes || !legal) {
     aErrors.push_back(
