Ctl: submission state machine

Writes one document by conditional update, copies the audit entries of the generations that it replaces first, and settles lost answers by reading back and comparing the submission ID.

--- a/include/snipepost/Ctl/Submission.h
+++ b/include/snipepost/Ctl/Submission.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,10 +46,12 @@
 struct SubmissionPlan
 {
   Document mDocument;
-  /// The document that was edited. The store must hold it or an older one;
-  /// nothing newer may be replaced. Its audit entry is copied.
-  std::optional<Document> mBase;
-  /// Writes an unchanged document back. The store must hold an older one.
+  /// The document that the operator edited; nothing newer is replaced.
+  DocumentOrder mBase;
+  /// The highest document that instances hold, when one was found.
+  std::optional<Document> mHeld;
+  /// Writes mDocument back unless the store holds it or a newer one; mBase and
+  /// mHeld are not used.
   bool mRestore = false;
 };
 
@@ -78,8 +81,9 @@
 class Submission
 {
 public:
-  /// Calls that may end in Refused or Unknown before the submission gives up.
-  static constexpr int kMaxFailures = 6;
+  /// Calls without the expected outcome before the submission gives up. With
+  /// doubling pauses from kFirstPause this bridges about 13 s.
+  static constexpr int kMaxFailures = 8;
   static constexpr Duration kFirstPause = std::chrono::milliseconds(100);
 
   Submission(SubmissionPlan aPlan, uint64_t aSeed);
@@ -87,9 +91,12 @@
   /// The step to take next; meaningful while there is no result.
   const SubmissionStep& Next() const { return mStep; }
 
-  /// The answer to the last store call; after a pause it is ignored.
+  /// The answer to the store call that Next() asked for.
   void OnAnswer(const StoreAnswer& aAnswer);
 
+  /// The pause that Next() asked for is over.
+  void OnPaused();
+
   const std::optional<SubmissionResult>& Result() const { return mResult; }
 
 private:
@@ -102,18 +109,24 @@
     FindInAudit,
   };
 
-  void Issue();
   void Fail(StoreOutcome aOutcome);
   void Finish(Verdict aVerdict, std::string aText);
   void OnRead(const StoreAnswer& aAnswer);
-  void OnCurrent(const StoredObject& aObject);
+  void OnCurrent(const Document& aCurrent);
+  bool IsOurs(const Document& aDocument) const;
+  bool IsUnseen(const Document& aDocument) const;
+  void Conflict(const Document& aTheirs);
   void OnAuditPut(const StoreAnswer& aAnswer);
   void OnAuditRead(const StoreAnswer& aAnswer);
   void OnDocumentPut(const StoreAnswer& aAnswer);
   void OnFindInAudit(const StoreAnswer& aAnswer);
-  void StartAudit();
-  void NextAudit();
-  std::string AuditKey(const Document& aDocument) const;
+  void StartWriting();
+  void CallGet(State aState, std::string aKey);
+  void CallPut(State aState,
+               std::string aKey,
+               std::string aValue,
+               std::optional<ObjectVersion> aVersion);
+  std::string AuditKey(const DocumentOrder& aOrder) const;
 
   SubmissionPlan mPlan;
   Random mRandom;
@@ -123,11 +136,13 @@
   std::optional<ObjectVersion> mVersion;
   /// Documents whose audit entries are still to be copied.
   std::vector<Document> mAudits;
+  std::set<DocumentOrder> mCopied;
   /// The entry of this generation exists with another submission ID.
   bool mAuditKeyTaken = false;
-  std::optional<Document> mTheirs;
   int mFailures = 0;
   bool mMayHaveWritten = false;
+  /// Result unless the audit entries show that the write took effect.
+  std::optional<SubmissionResult> mConflict;
   std::optional<SubmissionResult> mResult;
 };
 
