--- /dev/null
+++ b/include/snipepost/Quic/Credentials.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+struct gnutls_certificate_credentials_st;
+
+namespace snipepost {
+
+/// A TLS certificate with its private key, or, for a caller, the set of
+/// trusted certificates. Copies share the same GnuTLS object.
+class Credentials
+{
+public:
+  using Native = gnutls_certificate_credentials_st*;
+
+  /// Loads a certificate chain and a private key from PEM files. Returns
+  /// nothing when a file can't be read or the two don't belong together.
+  static std::optional<Credentials> LoadPem(const std::string& aChainFile,
+                                            const std::string& aKeyFile);
+
+  /// Creates an ECDSA P-256 key and a certificate for aName that it signs
+  /// itself, valid for one day from one minute ago. For tests and the demo.
+  static std::optional<Credentials> MakeSelfSigned(const std::string& aName);
+
+  /// For a caller that doesn't verify the server's certificate: traffic on
+  /// loopback against MakeSelfSigned().
+  static Credentials ForUnverifyingCaller();
+
+  Native Get() const { return mNative.get(); }
+
+private:
+  explicit Credentials(Native aNative);
+  static Credentials Allocate();
+
+  std::shared_ptr<gnutls_certificate_credentials_st> mNative;
+};
+
+} // namespace snipepost
--- /dev/null
+++ b/include/snipepost/Quic/Types.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <snipepost/Base/Address.h>
+#include <snipepost/Base/Types.h>
+
+namespace snipepost {
+
+/// Names one connection within its endpoint; never reused. Zero names none.
+using ConnectionHandle = Strong<struct ConnectionHandleTag, uint64_t>;
+
+/// A QUIC stream number; requests use 0, 4, 8 and so on.
+using StreamId = Strong<struct StreamIdTag, int64_t>;
+
+/// Names one request within its server endpoint.
+struct RequestHandle
+{
+  ConnectionHandle mConnection;
+  StreamId mStream;
+
+  auto operator<=>(const RequestHandle&) const = default;
+};
+
+/// One HTTP field. Names are in lower case; pseudo header fields such as
+/// ":path" come first, in the order received.
+struct HttpField
+{
+  std::string mName;
+  std::string mValue;
+};
+
+using HttpFields = std::vector<HttpField>;
+
+/// The value of the first field called aName, or an empty view.
+inline std::string_view
+FieldValue(const HttpFields& aFields, std::string_view aName)
+{
+  for (const HttpField& field : aFields) {
+    if (field.mName == aName) {
+      return field.mValue;
+    }
+  }
+  return {};
+}
+
+/// Error codes of HTTP/3 (RFC 9114, section 8.1) that this project uses.
+enum class Http3Error : uint64_t
+{
+  NoError = 0x100,
+  InternalError = 0x102,
+  ExcessiveLoad = 0x107,
+  RequestRejected = 0x10b,
+  RequestCancelled = 0x10c,
+};
+
+/// Length of every connection ID that a ServerEndpoint issues.
+constexpr size_t kConnectionIdLength = 20;
+
+using ConnectionIdBytes = std::array<uint8_t, kConnectionIdLength>;
+
+/// Supplies the bytes of a new connection ID. Each call returns a value that
+/// no earlier call of the same process returned.
+using RouteIdIssuer = std::function<ConnectionIdBytes()>;
+
+/// Bounds on what peers can make an endpoint hold.
+struct QuicLimits
+{
+  /// Connections that are open or in their handshake.
+  size_t mConnections = 2000;
+  /// Requests in progress on one connection.
+  size_t mStreamsPerConnection = 16;
+  /// Sum of the names and values of one request's or response's header
+  /// fields, in bytes, with 32 bytes added for each field (RFC 9114, 4.2.2).
+  size_t mHeaderBytes = 16 * 1024;
+  /// Bytes of a request body that the peer may send before they are consumed,
+  /// for one stream and for one connection.
+  size_t mStreamWindow = 64 * 1024;
+  size_t mConnectionWindow = 256 * 1024;
+  /// Bytes of an outgoing body that one stream holds until acknowledged.
+  size_t mSendBuffer = 64 * 1024;
+  /// A connection without packets for this long is dropped silently.
+  Duration mIdleTimeout = std::chrono::seconds(30);
+  /// An unfinished handshake is dropped after this long.
+  Duration mHandshakeTimeout = std::chrono::seconds(10);
+};
+
+} // namespace snipepost
