--- /dev/null
+++ b/include/snipepost/Admission/ConnectionLimit.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <set>
+#include <utility>
+
+#include <snipepost/Admission/Events.h>
+
+namespace snipepost {
+
+/// The open flows of an agent and their bound.
+class ConnectionLimit
+{
+public:
+  explicit ConnectionLimit(size_t aMax)
+    : mMax(aMax)
+  {
+  }
+
+  /// A smaller bound closes nothing; it only keeps new flows out.
+  void Configure(size_t aMax) { mMax = aMax; }
+
+  bool HasRoom() const { return mFlows.size() < mMax; }
+
+  /// Adds a flow. Returns false, and adds nothing, when there is no room.
+  bool Open(FlowId aFlow)
+  {
+    return mFlows.contains(aFlow) || (HasRoom() && mFlows.insert(aFlow).second);
+  }
+
+  void Close(FlowId aFlow) { mFlows.erase(aFlow); }
+
+  /// Empties the set and returns what was in it.
+  std::set<FlowId> TakeAll() { return std::exchange(mFlows, {}); }
+
+  bool Contains(FlowId aFlow) const { return mFlows.contains(aFlow); }
+  size_t Count() const { return mFlows.size(); }
+
+private:
+  size_t mMax;
+  std::set<FlowId> mFlows;
+};
+
+} // namespace snipepost
--- /dev/null
+++ b/include/snipepost/Admission/IdempotencyTable.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <snipepost/Admission/Events.h>
+#include <snipepost/Admission/Options.h>
+
+namespace snipepost {
+
+/// What became of the first request with each idempotency key. Bounded; a
+/// record is never evicted before its life is over.
+class IdempotencyTable
+{
+public:
+  enum class State : uint8_t
+  {
+    /// No record: the key was not used within the life of a record.
+    Absent,
+    InProgress,
+    Answered,
+    /// The outcome isn't known, or the response was too long to keep.
+    Unknown
+  };
+
+  struct Record
+  {
+    State mState = State::Absent;
+    /// The stored response; null unless the state is Answered.
+    ResponseBytes mResponse;
+    /// Duplicates that wait for the outcome.
+    std::vector<RequestId> mWaiters;
+    Instant mCreated;
+  };
+
+  explicit IdempotencyTable(const IdempotencyOptions& aOptions)
+    : mOptions(aOptions)
+  {
+  }
+
+  /// The record of a key, or null.
+  const Record* Find(const std::string& aKey) const;
+
+  /// Adds a record in progress. Returns false when the table is full; the key
+  /// must be absent.
+  bool Begin(const std::string& aKey, Instant aNow);
+
+  /// Makes a duplicate wait. Returns false when too many wait already; the key
+  /// must be in progress.
+  bool Wait(const std::string& aKey, RequestId aRequest);
+
+  /// Removes a duplicate that no longer waits.
+  void StopWaiting(const std::string& aKey, RequestId aRequest);
+
+  /// Settles a record with a response (or Unknown when it can't be stored) and
+  /// returns the duplicates that waited.
+  std::vector<RequestId> Answer(const std::string& aKey,
+                                ResponseBytes aResponse);
+
+  /// Settles a record as Unknown and returns the duplicates that waited.
+  std::vector<RequestId> SetUnknown(const std::string& aKey);
+
+  /// Removes the record of a request that did not run and returns the
+  /// duplicates that waited.
+  std::vector<RequestId> Forget(const std::string& aKey);
+
+  /// Removes records that are past their life and not in progress.
+  void Expire(Instant aNow);
+
+  size_t Count() const { return mRecords.size(); }
+
+private:
+  struct Expiry
+  {
+    Instant mAt;
+    std::string mKey;
+    Instant mCreated;
+  };
+
+  std::vector<RequestId> TakeWaiters(Record& aRecord);
+
+  IdempotencyOptions mOptions;
+  std::unordered_map<std::string, Record> mRecords;
+  std::deque<Expiry> mExpiries;
+  size_t mStoredBytes = 0;
+  size_t mWaiting = 0;
+};
+
+} // namespace snipepost
--- /dev/null
+++ b/include/snipepost/Admission/ServiceTime.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <array>
+
+#include <snipepost/Admission/Events.h>
+
+namespace snipepost {
+
+/// Measured time from passing a request on to its complete response, as an
+/// exponentially weighted moving average for each class.
+class ServiceTime
+{
+public:
+  void Record(RequestClass aClass, Duration aTime);
+
+  /// Zero until the first measurement.
+  Duration Mean(RequestClass aClass) const;
+
+private:
+  std::array<Duration, 3> mMeans{};
+};
+
+} // namespace snipepost
