Admission: agent core and its parts

The core keeps the requests of an agent from arrival to outcome. Requests that were passed on are reported as not run only after a refusal by the backend server; every other end is an unknown outcome.

--- a/include/snipepost/Admission/AgentCore.h
+++ b/include/snipepost/Admission/AgentCore.h
@@ -91,12 +91,14 @@
 
   struct Request
   {
-    RequestArrived mArrival;
+    RequestArrived mArrival{};
     Stage mStage = Stage::Queued;
-    Instant mPassedOn;
+    Instant mPassedOn{};
     uint32_t mAttempts = 0;
     /// An attempt ended in a way that leaves open whether it ran.
     bool mMayHaveRun = false;
+    /// A Cancel effect was sent.
+    bool mCancelled = false;
     /// Nobody waits for the answer any more.
     bool mSettled = false;
 
@@ -108,29 +110,38 @@
   using Requests = std::map<RequestId, Request>;
 
   // Requests (AgentCoreRequests.cpp).
+  static uint32_t ScopeSeconds(Instant aNow);
   bool SettleByKey(const RequestArrived& aEvent, Instant aNow);
   bool SettleByRecord(const RequestArrived& aEvent);
   bool SettleByScope(const RequestArrived& aEvent, Instant aNow);
   std::optional<RejectReason> AdmissionError(const RequestArrived& aEvent,
                                              Instant aNow) const;
-  void Enqueue(Request aRequest);
-  void RejectById(RequestId aRequest, RejectReason aReason);
-  void FinishNotRun(Requests::iterator aRequest, RejectReason aReason);
-  void FinishUnknown(Request& aRequest, UnknownReason aReason);
-  void FinishAnswered(Request& aRequest, const BackendResult& aEvent);
-  void Withdraw(Requests::iterator aRequest);
+  std::optional<RejectReason> QueueError(const RequestArrived& aArrival,
+                                         Instant aNow) const;
+  void Admit(const RequestArrived& aEvent, Instant aNow);
+  void Enqueue(const RequestArrived& aArrival);
+  void Settle(Requests::iterator aRequest,
+              const BackendResult& aEvent,
+              Instant aNow);
   bool MayRetry(const Request& aRequest,
                 const BackendResult& aEvent,
                 Instant aNow);
-  void AnswerWaiters(const std::vector<RequestId>& aWaiters,
-                     const Effect& aLike);
+  void FinishNotRun(Requests::iterator aRequest, RejectReason aReason);
+  void FinishUnknown(Request& aRequest, UnknownReason aReason);
+  void FinishAnswered(Request& aRequest, const BackendResult& aEvent);
+  void SendCancel(Request& aRequest);
+  void Withdraw(RequestId aRequest);
+  void WithdrawQueued(Requests::iterator aRequest);
 
   // State of the agent (AgentCore.cpp).
+  void Begin(Instant aNow);
   Effects Finish(Instant aNow);
   void Expire(Instant aNow);
+  void ExpireUnqueued(Requests::iterator aRequest, Instant aNow);
   void Dispatch(Instant aNow);
   void AdvanceDrain(Instant aNow);
   void UpdateDrain(Instant aNow);
+  void RejectQueue(RejectReason aReason);
   void LeaveDomain();
   void CheckExit();
   void GoCold(Instant aNow);
--- a/include/snipepost/Admission/DrainState.h
+++ b/include/snipepost/Admission/DrainState.h
@@ -47,7 +47,7 @@
 private:
   DrainOptions mOptions;
   Phase mPhase = Phase::Serving;
-  Instant mStarted;
+  std::optional<Instant> mStarted;
 };
 
 } // namespace snipepost
--- a/include/snipepost/Admission/Events.h
+++ b/include/snipepost/Admission/Events.h
@@ -77,43 +77,43 @@
 /// The QUIC layer created a flow.
 struct FlowOpened
 {
-  FlowId mFlow;
+  FlowId mFlow{};
 };
 
 /// A flow ended, by either side or by idle timeout. Requests of the flow need
 /// no further answer.
 struct FlowClosed
 {
-  FlowId mFlow;
+  FlowId mFlow{};
 };
 
 /// The header section of a request is complete.
 struct RequestArrived
 {
-  RequestId mRequest;
+  RequestId mRequest{};
   /// Nothing when another agent relayed the request over a control stream.
-  std::optional<FlowId> mFlow;
+  std::optional<FlowId> mFlow{};
   RequestClass mClass = RequestClass::Query;
   /// True when running the request twice is harmless (GET, HEAD).
   bool mIdempotent = true;
   /// Value of the idempotency-key header field, empty when absent. Ignored for
   /// idempotent requests.
-  std::string mKey;
+  std::string mKey{};
   /// The caller has no use for an answer after this time.
-  Instant mDeadline;
+  Instant mDeadline{};
 };
 
 /// The caller reset the stream of a request.
 struct RequestCancelled
 {
-  RequestId mRequest;
+  RequestId mRequest{};
 };
 
 /// The agent named in a Relay effect answered, or the relay failed. The daemon
 /// has passed the outcome to the caller.
 struct RelayFinished
 {
-  RequestId mRequest;
+  RequestId mRequest{};
 };
 
 /// How an exchange with the backend server ended.
@@ -136,14 +136,14 @@
 /// the stream to the backend server is closed; the slot is held until then.
 struct BackendResult
 {
-  RequestId mRequest;
+  RequestId mRequest{};
   BackendOutcome mOutcome = BackendOutcome::Answered;
   /// True when bytes of the response were sent to the caller, which rules out
   /// a retry.
   bool mResponseStarted = false;
   /// For Answered and Shed: the response, or null when the daemon didn't keep
   /// it because of its size.
-  ResponseBytes mResponse;
+  ResponseBytes mResponse{};
 };
 
 /// Health states that a backend server reports.
@@ -161,12 +161,12 @@
   /// Whether the connection to the backend server is up.
   bool mReachable = false;
   /// Identifies one life of the backend server; empty when not reported.
-  std::string mBoot;
-  std::optional<BackendHealth> mHealth;
+  std::string mBoot{};
+  std::optional<BackendHealth> mHealth{};
   /// Reported warmth from 0 (cold) to 1.
-  std::optional<double> mWarmth;
+  std::optional<double> mWarmth{};
   /// Reported number of slots.
-  std::optional<uint32_t> mSlots;
+  std::optional<uint32_t> mSlots{};
 };
 
 /// The part of the effective configuration that concerns this agent.
@@ -180,7 +180,7 @@
   Duration mRamp = std::chrono::seconds(20);
   /// The first candidate accepts a flow while used slots + queue is below
   /// this; the current limit when absent.
-  std::optional<uint32_t> mThreshold;
+  std::optional<uint32_t> mThreshold{};
   bool mDraining = false;
   bool mDomainOut = false;
 
@@ -190,7 +190,7 @@
 /// A configuration came into force.
 struct ConfigChanged
 {
-  AgentConfig mConfig;
+  AgentConfig mConfig{};
 };
 
 /// The agent's own lease was renewed, or the store became known to be in or
@@ -198,7 +198,7 @@
 struct LeaseChanged
 {
   /// End of the lease in the agent's monotonic time.
-  Instant mEnd;
+  Instant mEnd{};
   bool mStoreOut = false;
 };
 
@@ -230,8 +230,8 @@
 /// Send the request to the backend server with the time left until mDeadline.
 struct PassOn
 {
-  RequestId mRequest;
-  Instant mDeadline;
+  RequestId mRequest{};
+  Instant mDeadline{};
 };
 
 enum class RejectReason : uint8_t
@@ -251,7 +251,7 @@
 /// Reset the stream with H3_REQUEST_REJECTED: the request did not run.
 struct Reject
 {
-  RequestId mRequest;
+  RequestId mRequest{};
   RejectReason mReason = RejectReason::QueueFull;
 };
 
@@ -272,30 +272,30 @@
 /// response was already sent.
 struct AnswerUnknown
 {
-  RequestId mRequest;
+  RequestId mRequest{};
   UnknownReason mReason = UnknownReason::BackendBroken;
 };
 
 /// Answer with the stored response of the first request with the same key.
 struct AnswerStored
 {
-  RequestId mRequest;
-  ResponseBytes mResponse;
+  RequestId mRequest{};
+  ResponseBytes mResponse{};
 };
 
 /// Relay the request over a control stream to the agent named in its key and
 /// report RelayFinished.
 struct Relay
 {
-  RequestId mRequest;
-  Address mAgent;
+  RequestId mRequest{};
+  Address mAgent{};
 };
 
 /// Stop the exchange with the backend server, or the relay, of a request whose
 /// answer nobody waits for.
 struct Cancel
 {
-  RequestId mRequest;
+  RequestId mRequest{};
 };
 
 /// Send a GOAWAY on every flow that announces the shutdown and ends nothing.
@@ -309,7 +309,7 @@
 /// Close the flow at once.
 struct CloseFlow
 {
-  FlowId mFlow;
+  FlowId mFlow{};
 };
 
 /// Nothing is in progress after a shutdown request; the process may exit.
--- a/include/snipepost/Admission/IdempotencyTable.h
+++ b/include/snipepost/Admission/IdempotencyTable.h
@@ -35,7 +35,7 @@
     ResponseBytes mResponse;
     /// Duplicates that wait for the outcome.
     std::vector<RequestId> mWaiters;
-    Instant mCreated;
+    Instant mCreated{};
   };
 
   explicit IdempotencyTable(const IdempotencyOptions& aOptions)
@@ -77,9 +77,9 @@
 private:
   struct Expiry
   {
-    Instant mAt;
+    Instant mAt{};
     std::string mKey;
-    Instant mCreated;
+    Instant mCreated{};
   };
 
   std::vector<RequestId> TakeWaiters(Record& aRecord);
--- a/include/snipepost/Admission/Lease.h
+++ b/include/snipepost/Admission/Lease.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include <snipepost/Admission/Options.h>
 #include <snipepost/Base/Types.h>
 
@@ -29,7 +31,7 @@
   LeaseOptions mOptions;
   Instant mEnd = Instant::min();
   bool mStoreOut = false;
-  Instant mConfirmed = Instant::min();
+  std::optional<Instant> mConfirmed;
 };
 
 } // namespace snipepost
--- a/include/snipepost/Admission/Options.h
+++ b/include/snipepost/Admission/Options.h
@@ -97,15 +97,15 @@
 struct AgentOptions
 {
   /// The agent's address as callers' keys name it.
-  Address mAddress;
-  Incarnation mIncarnation;
-  IdempotencyOptions mIdempotency;
-  RetryOptions mRetry;
-  DrainOptions mDrain;
-  LeaseOptions mLease;
+  Address mAddress{};
+  Incarnation mIncarnation{};
+  IdempotencyOptions mIdempotency{};
+  RetryOptions mRetry{};
+  DrainOptions mDrain{};
+  LeaseOptions mLease{};
   /// Queue places per slot.
   uint32_t mQueuePerSlot = 4;
-  Guards mGuards;
+  Guards mGuards{};
 };
 
 } // namespace snipepost
--- a/include/snipepost/Admission/RequestQueue.h
+++ b/include/snipepost/Admission/RequestQueue.h
@@ -19,9 +19,9 @@
 public:
   struct Entry
   {
-    RequestId mRequest;
+    RequestId mRequest{};
     RequestClass mClass = RequestClass::Query;
-    Instant mDeadline;
+    Instant mDeadline{};
   };
 
   /// Why an entry was not queued.
--- /dev/null
+++ b/src/Admission/AgentCoreRequests.cpp
@@ -0,0 +1,311 @@
+#include <snipepost/Admission/AgentCore.h>
+
+#include <utility>
+#include <vector>
+
+namespace snipepost {
+
+uint32_t
+AgentCore::ScopeSeconds(Instant aNow)
+{
+  const auto time = aNow.time_since_epoch();
+  return static_cast<uint32_t>(
+    std::chrono::duration_cast<std::chrono::seconds>(time).count());
+}
+
+bool
+AgentCore::SettleByKey(const RequestArrived& aEvent, Instant aNow)
+{
+  if (aEvent.mIdempotent || aEvent.mKey.empty()) {
+    return false;
+  }
+  return SettleByRecord(aEvent) || SettleByScope(aEvent, aNow);
+}
+
+bool
+AgentCore::SettleByRecord(const RequestArrived& aEvent)
+{
+  const auto* record = mTable.Find(aEvent.mKey);
+  if (!record || !mOptions.mGuards.mIdempotencyTable) {
+    return false;
+  }
+  const RequestId id = aEvent.mRequest;
+  switch (record->mState) {
+    case IdempotencyTable::State::Absent:
+      return false;
+    case IdempotencyTable::State::Answered:
+      mEffects.emplace_back(AnswerStored{ id, record->mResponse });
+      return true;
+    case IdempotencyTable::State::Unknown:
+      mEffects.emplace_back(AnswerUnknown{ id, UnknownReason::NotStored });
+      return true;
+    case IdempotencyTable::State::InProgress:
+      break;
+  }
+  if (!mTable.Wait(aEvent.mKey, id)) {
+    mEffects.emplace_back(
+      AnswerUnknown{ id, UnknownReason::TooManyDuplicates });
+    return true;
+  }
+  mRequests[id] = Request{ .mArrival = aEvent, .mStage = Stage::Waiting };
+  return true;
+}
+
+bool
+AgentCore::SettleByScope(const RequestArrived& aEvent, Instant aNow)
+{
+  const RequestId id = aEvent.mRequest;
+  const auto unknown = [&](UnknownReason aReason) {
+    mEffects.emplace_back(AnswerUnknown{ id, aReason });
+    return true;
+  };
+  const auto parsed = ParseIdempotencyKey(aEvent.mKey, mKeys);
+  if (!parsed.mScope && parsed.mError == KeyScopeError::Unverified) {
+    return unknown(UnknownReason::UnverifiedScope);
+  }
+  if (!parsed.mScope ||
+      aEvent.mKey.size() > mOptions.mIdempotency.mMaxKeyBytes) {
+    mEffects.emplace_back(Reject{ id, RejectReason::MalformedKey });
+    return true;
+  }
+  const KeyScope& scope = *parsed.mScope;
+  if (scope.mAgent != mOptions.mAddress) {
+    if (!aEvent.mFlow) {
+      return unknown(UnknownReason::RelayLoop);
+    }
+    mRequests[id] = Request{ .mArrival = aEvent, .mStage = Stage::Relayed };
+    mEffects.emplace_back(Relay{ id, scope.mAgent });
+    return true;
+  }
+  if (scope.mIncarnation != mOptions.mIncarnation &&
+      mOptions.mGuards.mIncarnationCheck) {
+    return unknown(UnknownReason::OtherIncarnation);
+  }
+  const Instant issued{ std::chrono::seconds(scope.mIssued) };
+  const bool expired = aNow - issued > mOptions.mIdempotency.mScopeValidity;
+  if ((expired || issued > aNow) && mOptions.mGuards.mScopeExpiry) {
+    return unknown(UnknownReason::ScopeExpired);
+  }
+  return false;
+}
+
+std::optional<RejectReason>
+AgentCore::AdmissionError(const RequestArrived& aEvent, Instant aNow) const
+{
+  if (DomainIsOut()) {
+    return RejectReason::DomainOut;
+  }
+  if (!LeaseHolds(aNow)) {
+    return RejectReason::LeaseLapsed;
+  }
+  const auto phase = mDrain.Current();
+  const bool closing =
+    phase == DrainState::Phase::Closing || phase == DrainState::Phase::Emptying;
+  if (closing && mOptions.mGuards.mDrainRejects) {
+    return RejectReason::Draining;
+  }
+  return QueueError(aEvent, aNow);
+}
+
+std::optional<RejectReason>
+AgentCore::QueueError(const RequestArrived& aArrival, Instant aNow) const
+{
+  const auto refusal =
+    mQueue.Check({ aArrival.mRequest, aArrival.mClass, aArrival.mDeadline },
+                 Limit(aNow),
+                 InFlight(),
+                 mServiceTime,
+                 aNow);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  return *refusal == RequestQueue::Refusal::Full
+           ? RejectReason::QueueFull
+           : RejectReason::DeadlineTooShort;
+}
+
+void
+AgentCore::Admit(const RequestArrived& aEvent, Instant aNow)
+{
+  auto error = AdmissionError(aEvent, aNow);
+  const bool recorded = !aEvent.mIdempotent && !aEvent.mKey.empty();
+  if (!error && recorded && !mTable.Begin(aEvent.mKey, aNow)) {
+    error = RejectReason::TableFull;
+  }
+  if (error) {
+    mEffects.emplace_back(Reject{ aEvent.mRequest, *error });
+    return;
+  }
+  mRequests[aEvent.mRequest] = Request{ .mArrival = aEvent };
+  Enqueue(aEvent);
+}
+
+void
+AgentCore::Enqueue(const RequestArrived& aArrival)
+{
+  const auto displaced =
+    mQueue.Push({ aArrival.mRequest, aArrival.mClass, aArrival.mDeadline });
+  if (displaced) {
+    FinishNotRun(mRequests.find(displaced->mRequest), RejectReason::QueueFull);
+  }
+}
+
+void
+AgentCore::Settle(Requests::iterator aRequest,
+                  const BackendResult& aEvent,
+                  Instant aNow)
+{
+  Request& request = aRequest->second;
+  switch (aEvent.mOutcome) {
+    case BackendOutcome::Answered:
+    case BackendOutcome::Shed:
+      FinishAnswered(request, aEvent);
+      mRequests.erase(aRequest);
+      return;
+    case BackendOutcome::Refused:
+      break;
+    case BackendOutcome::Broken:
+    case BackendOutcome::TimedOut:
+      request.mMayHaveRun = true;
+      break;
+  }
+  if (MayRetry(request, aEvent, aNow)) {
+    request.mStage = Stage::Queued;
+    Enqueue(RequestArrived(request.mArrival));
+    return;
+  }
+  FinishNotRun(aRequest, RejectReason::RefusedByBackend);
+}
+
+bool
+AgentCore::MayRetry(const Request& aRequest,
+                    const BackendResult& aEvent,
+                    Instant aNow)
+{
+  const bool wanted = !aRequest.mSettled && !aRequest.mCancelled &&
+                      !aEvent.mResponseStarted &&
+                      aEvent.mOutcome != BackendOutcome::TimedOut;
+  // A refused submission isn't retried either: passing it on once at most is
+  // the only rule that needs no trust in the refusal.
+  const bool harmless =
+    aRequest.mArrival.mIdempotent || !mOptions.mGuards.mPassOnOnce;
+  if (!wanted || !harmless || DomainIsOut() ||
+      mDrain.Current() == DrainState::Phase::Emptying ||
+      aRequest.mAttempts >= mOptions.mRetry.mMaxAttempts ||
+      QueueError(aRequest.mArrival, aNow)) {
+    return false;
+  }
+  return mBudget.TryRetry() || !mOptions.mGuards.mRetryBudget;
+}
+
+void
+AgentCore::FinishNotRun(Requests::iterator aRequest, RejectReason aReason)
+{
+  Request& request = aRequest->second;
+  if (request.mMayHaveRun && mOptions.mGuards.mUnknownAfterPassOn) {
+    FinishUnknown(request, UnknownReason::BackendBroken);
+    mRequests.erase(aRequest);
+    return;
+  }
+  if (!request.mSettled) {
+    mEffects.emplace_back(Reject{ aRequest->first, aReason });
+  }
+  if (request.HasRecord()) {
+    for (const RequestId waiter : mTable.Forget(request.mArrival.mKey)) {
+      mEffects.emplace_back(
+        Reject{ waiter, RejectReason::FirstAttemptRejected });
+      mRequests.erase(waiter);
+    }
+  }
+  mRequests.erase(aRequest);
+}
+
+void
+AgentCore::FinishUnknown(Request& aRequest, UnknownReason aReason)
+{
+  const RequestId id = aRequest.mArrival.mRequest;
+  if (!std::exchange(aRequest.mSettled, true)) {
+    mEffects.emplace_back(AnswerUnknown{ id, aReason });
+  }
+  if (!aRequest.HasRecord() || aRequest.mStage == Stage::Waiting) {
+    return;
+  }
+  for (const RequestId waiter : mTable.SetUnknown(aRequest.mArrival.mKey)) {
+    mEffects.emplace_back(AnswerUnknown{ waiter, aReason });
+    mRequests.erase(waiter);
+  }
+}
+
+void
+AgentCore::FinishAnswered(Request& aRequest, const BackendResult& aEvent)
+{
+  if (!aRequest.HasRecord()) {
+    return;
+  }
+  const std::string& key = aRequest.mArrival.mKey;
+  const auto waiters = mTable.Answer(key, aEvent.mResponse);
+  const auto* record = mTable.Find(key);
+  const bool stored =
+    record && record->mState == IdempotencyTable::State::Answered;
+  for (const RequestId waiter : waiters) {
+    if (stored) {
+      mEffects.emplace_back(AnswerStored{ waiter, record->mResponse });
+    } else {
+      mEffects.emplace_back(AnswerUnknown{ waiter, UnknownReason::NotStored });
+    }
+    mRequests.erase(waiter);
+  }
+}
+
+void
+AgentCore::SendCancel(Request& aRequest)
+{
+  if (!std::exchange(aRequest.mCancelled, true)) {
+    mEffects.emplace_back(Cancel{ aRequest.mArrival.mRequest });
+  }
+}
+
+void
+AgentCore::Withdraw(RequestId aRequest)
+{
+  const auto found = mRequests.find(aRequest);
+  if (found == mRequests.end()) {
+    return;
+  }
+  Request& request = found->second;
+  request.mSettled = true;
+  switch (request.mStage) {
+    case Stage::Queued:
+      WithdrawQueued(found);
+      return;
+    case Stage::PassedOn:
+      // With a key the caller can come back for the response.
+      if (!request.HasRecord()) {
+        SendCancel(request);
+      }
+      return;
+    case Stage::Waiting:
+      mTable.StopWaiting(request.mArrival.mKey, aRequest);
+      break;
+    case Stage::Relayed:
+      SendCancel(request);
+      break;
+  }
+  mRequests.erase(found);
+}
+
+void
+AgentCore::WithdrawQueued(Requests::iterator aRequest)
+{
+  const Request& request = aRequest->second;
+  const auto* record =
+    request.HasRecord() ? mTable.Find(request.mArrival.mKey) : nullptr;
+  // A duplicate that waits still wants the request to run.
+  if (record && !record->mWaiters.empty()) {
+    return;
+  }
+  mQueue.Remove(aRequest->first);
+  FinishNotRun(aRequest, RejectReason::FirstAttemptRejected);
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Admission/ColdRamp.cpp
@@ -0,0 +1,101 @@
+#include <snipepost/Admission/ColdRamp.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipepost {
+
+namespace {
+
+/// A report without a successor stops counting after this time, so that one
+/// wrong low value doesn't hold the limit down for good.
+constexpr Duration kReportLife = std::chrono::seconds(10);
+
+} // namespace
+
+ColdRamp::ColdRamp(uint32_t aSlots, Duration aRamp, Instant aColdSince)
+  : mSlots(std::max(aSlots, 1U))
+  , mRamp(aRamp)
+  , mColdSince(aColdSince)
+{
+}
+
+void
+ColdRamp::Configure(uint32_t aSlots, Duration aRamp)
+{
+  mSlots = std::max(aSlots, 1U);
+  mRamp = aRamp;
+}
+
+void
+ColdRamp::Restart(Instant aNow)
+{
+  mColdSince = aNow;
+  mWarmth.reset();
+  mReportedSlots.reset();
+}
+
+void
+ColdRamp::ReportWarmth(double aWarmth, Instant aNow)
+{
+  if (!(aWarmth >= 0.0 && aWarmth <= 1.0)) {
+    return;
+  }
+  mWarmth = aWarmth;
+  mReportedAt = aNow;
+}
+
+void
+ColdRamp::ReportSlots(uint32_t aSlots, Instant aNow)
+{
+  mReportedSlots = aSlots;
+  mReportedAt = aNow;
+}
+
+uint32_t
+ColdRamp::Limit(Instant aNow) const
+{
+  uint32_t limit = LimitByTime(aNow);
+  if (aNow - mReportedAt >= kReportLife) {
+    return limit;
+  }
+  if (mWarmth) {
+    limit = std::min(limit, static_cast<uint32_t>(*mWarmth * mSlots));
+  }
+  if (mReportedSlots) {
+    limit = std::min(limit, *mReportedSlots);
+  }
+  return std::max(limit, 1U);
+}
+
+uint32_t
+ColdRamp::LimitByTime(Instant aNow) const
+{
+  const Duration elapsed = aNow - mColdSince;
+  if (elapsed >= mRamp) {
+    return mSlots;
+  }
+  const double share =
+    static_cast<double>(elapsed.count()) / static_cast<double>(mRamp.count());
+  return 1 + static_cast<uint32_t>((mSlots - 1) * std::max(share, 0.0));
+}
+
+std::optional<Instant>
+ColdRamp::NextStep(Instant aNow) const
+{
+  const uint32_t limit = LimitByTime(aNow);
+  if (limit >= mSlots) {
+    return std::nullopt;
+  }
+  // The step is rounded up so that a tick at this time sees the new limit.
+  const int64_t step = mRamp.count() * limit / (mSlots - 1) + 1;
+  return std::max(mColdSince + Duration(step), aNow + Duration(1));
+}
+
+std::optional<double>
+ColdRamp::Warmth(Instant aNow) const
+{
+  return aNow - mReportedAt < kReportLife ? mWarmth : std::nullopt;
+}
+
+} // namespace snipepost
