--- /dev/null
+++ b/include/snipepost/Routing/Backend.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include <snipepost/Base/Address.h>
+#include <snipepost/Base/Types.h>
+
+namespace snipepost {
+
+/// A backend server as the routing decision sees it: the agent beside it, its
+/// failure domain, its share of new flows relative to the other backends of
+/// its service (0 takes none), and the low 16 bits of its incarnation.
+struct Backend
+{
+  Address mAgent;
+  DomainId mDomain;
+  uint16_t mWeight = 1;
+  uint16_t mIncarnation = 0;
+
+  auto operator<=>(const Backend&) const = default;
+};
+
+} // namespace snipepost
--- /dev/null
+++ b/include/snipepost/Routing/FirstPacketPolicy.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include <snipepost/Base/Random.h>
+#include <snipepost/Base/Types.h>
+#include <snipepost/Routing/CandidateList.h>
+#include <snipepost/Routing/RoutingSnapshot.h>
+
+namespace snipepost {
+
+/// Last known load of a backend, from 0 (idle) upwards, and when it was
+/// reported.
+struct LoadHint
+{
+  double mLoad = 0;
+  Instant mReported;
+};
+
+/// What a policy may look at. mHints holds one entry for each backend of the
+/// pool, in the same order; policies that need no hints accept an empty span.
+struct PolicyInput
+{
+  const BackendPool& mPool;
+  std::span<const LoadHint> mHints;
+  FlowKey mKey;
+  Instant mNow;
+};
+
+/// Chooses the agents that are offered the first packet of a flow. The agent
+/// that gets it may hand it on to later candidates. EntryRouter implements
+/// table with hunting; the other policies are baselines for measurements.
+class FirstPacketPolicy
+{
+public:
+  virtual ~FirstPacketPolicy() = default;
+
+  virtual std::string_view Name() const = 0;
+
+  /// Candidates in order; empty only when the pool is.
+  virtual CandidateList Choose(const PolicyInput& aInput,
+                               Random& aRandom) const = 0;
+};
+
+/// A backend chosen at random.
+std::unique_ptr<FirstPacketPolicy>
+MakeRandomPolicy();
+
+/// The backend with the lowest hint, whatever its age; the first on a tie.
+std::unique_ptr<FirstPacketPolicy>
+MakeLeastLoadedPolicy();
+
+/// The less loaded of two distinct random backends (Mitzenmacher, 2001). A hint
+/// loses half its weight against the mean of all hints every aHalfLife, so that
+/// old hints cause no herding.
+std::unique_ptr<FirstPacketPolicy>
+MakeTwoChoicesPolicy(Duration aHalfLife);
+
+/// The first candidate of the table; nothing is handed on.
+std::unique_ptr<FirstPacketPolicy>
+MakeTablePolicy();
+
+/// Two candidates of the table, of which the first may hand on.
+std::unique_ptr<FirstPacketPolicy>
+MakeHuntingPolicy();
+
+/// All policies with their default parameters.
+std::vector<std::unique_ptr<FirstPacketPolicy>>
+AllFirstPacketPolicies();
+
+} // namespace snipepost
--- /dev/null
+++ b/include/snipepost/Routing/ProxyHeader.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+#include <snipepost/Base/Address.h>
+
+namespace snipepost {
+
+/// Addresses that the fabric carries in a PROXY protocol version 2 header
+/// (command PROXY, DGRAM over IPv4).
+struct ProxyHeader
+{
+  Address mSource;
+  Address mDestination;
+
+  bool operator==(const ProxyHeader&) const = default;
+};
+
+/// Bytes that EncodeProxyHeader writes.
+constexpr size_t kProxyHeaderSize = 28;
+
+/// A datagram of the fabric. The payload is a view into it.
+struct ProxiedDatagram
+{
+  ProxyHeader mHeader;
+  std::span<const uint8_t> mPayload;
+};
+
+/// Writes the header, without TLVs. The payload follows it in the datagram.
+std::array<uint8_t, kProxyHeaderSize>
+EncodeProxyHeader(const ProxyHeader& aHeader);
+
+/// Reads a datagram with its header; TLVs are skipped. Returns nothing for
+/// another signature, version, command, address family or transport, and for a
+/// header that is longer than the datagram.
+std::optional<ProxiedDatagram>
+DecodeProxied(std::span<const uint8_t> aDatagram);
+
+} // namespace snipepost
