--- a/include/snipepost/Routing/Backend.h
+++ b/include/snipepost/Routing/Backend.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 
 #include <snipepost/Base/Address.h>
@@ -18,7 +17,7 @@
   uint16_t mWeight = 1;
   uint16_t mIncarnation = 0;
 
-  auto operator<=>(const Backend&) const = default;
+  bool operator==(const Backend&) const = default;
 };
 
 } // namespace snipepost
--- /dev/null
+++ b/src/Routing/EntryRouter.cpp
@@ -0,0 +1,141 @@
+#include <snipepost/Routing/EntryRouter.h>
+
+#include <optional>
+
+#include <snipepost/Base/Bytes.h>
+#include <snipepost/Routing/QuicInvariants.h>
+#include <snipepost/Routing/RouteId.h>
+
+#include "src/Routing/Hash.h"
+
+namespace snipepost {
+
+namespace {
+
+constexpr uint64_t kConnectionSeed = 0x636f6e6e00000004;
+constexpr uint64_t kCallerSeed = 0x63616c6c00000005;
+constexpr uint8_t kFirstQuicByte = 0x40;
+
+// Candidates taken from each of the two tables.
+constexpr size_t kPerTable = 2;
+
+RouteDecision
+Drop(DropReason aReason)
+{
+  RouteDecision decision;
+  decision.mDrop = aReason;
+  return decision;
+}
+
+void
+AddCandidates(const RoutingSnapshot& aSnapshot,
+              const BackendPool& aPool,
+              FlowKey aKey,
+              CandidateList& aList)
+{
+  std::array<uint16_t, kPerTable> picked{};
+  const size_t count = aPool.mTable->Pick(aKey, picked);
+  for (size_t i = 0; i < count; ++i) {
+    const Backend& backend = aPool.mBackends[picked[i]];
+    if (!aSnapshot.IsOut(backend.mDomain)) {
+      aList.Add(backend.mAgent);
+    }
+  }
+}
+
+RouteDecision
+RouteByTable(const RoutingSnapshot& aSnapshot,
+             const ServiceRoutes& aService,
+             FlowKey aKey)
+{
+  RouteDecision decision;
+  decision.mService = aService.mId;
+  AddCandidates(aSnapshot, *aService.mCurrent, aKey, decision.mCandidates);
+  if (aService.mPrevious) {
+    AddCandidates(aSnapshot, *aService.mPrevious, aKey, decision.mCandidates);
+  }
+  return decision.mCandidates.IsEmpty() ? Drop(DropReason::NoBackend)
+                                        : decision;
+}
+
+RouteDecision
+RouteById(const RoutingSnapshot& aSnapshot,
+          const ServiceRoutes& aService,
+          const RouteId& aRoute)
+{
+  if (aRoute.mService != aService.mId) {
+    return Drop(DropReason::WrongService);
+  }
+  if (aSnapshot.IsOut(aRoute.mDomain)) {
+    return Drop(DropReason::DomainOut);
+  }
+  RouteDecision decision;
+  decision.mService = aService.mId;
+  decision.mByIssuedId = true;
+  decision.mCandidates.Add(aRoute.mAgent);
+  return decision;
+}
+
+} // namespace
+
+FlowKey
+FlowKeyOfConnectionId(std::span<const uint8_t> aDestinationId)
+{
+  return FlowKey(HashBytes(aDestinationId, kConnectionSeed));
+}
+
+FlowKey
+FlowKeyOfCaller(const Address& aCaller, ServiceId aService)
+{
+  const uint64_t caller =
+    (uint64_t{ aCaller.mIp } << 32) | (uint64_t{ aCaller.mPort } << 16);
+  return FlowKey(HashWord(caller | aService.Value(), kCallerSeed));
+}
+
+RouteDecision
+EntryRouter::Route(const RoutingSnapshot& aSnapshot,
+                   const Address& aService,
+                   const Address& aCaller,
+                   std::span<const uint8_t> aDatagram)
+{
+  const RouteDecision decision =
+    Decide(aSnapshot, aService, aCaller, aDatagram);
+  ++mCounts[static_cast<size_t>(decision.mDrop)];
+  return decision;
+}
+
+RouteDecision
+EntryRouter::Decide(const RoutingSnapshot& aSnapshot,
+                    const Address& aService,
+                    const Address& aCaller,
+                    std::span<const uint8_t> aDatagram) const
+{
+  const ServiceRoutes* service = aSnapshot.Find(aService);
+  if (!service) {
+    return Drop(DropReason::UnknownService);
+  }
+  if (aDatagram.empty()) {
+    return Drop(DropReason::Malformed);
+  }
+  const auto packet = ParseQuicInvariants(aDatagram);
+  if (packet) {
+    if (const auto route = DecodeRouteId(packet->mDestinationId, mKeys)) {
+      return RouteById(aSnapshot, *service, *route);
+    }
+  }
+  if (aDatagram[0] < kFirstQuicByte) {
+    const FlowKey key = FlowKeyOfCaller(aCaller, service->mId);
+    return RouteByTable(aSnapshot, *service, key);
+  }
+  if (!packet) {
+    return Drop(DropReason::Malformed);
+  }
+  // Only the first flight may carry an ID that no agent issued.
+  if (packet->mKind != QuicPacketKind::First) {
+    return Drop(DropReason::ForgedId);
+  }
+  const FlowKey key = FlowKeyOfConnectionId(packet->mDestinationId);
+  return RouteByTable(aSnapshot, *service, key);
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Routing/MaglevTable.cpp
@@ -0,0 +1,152 @@
+#include "src/Routing/Tables.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+#include "src/Routing/Hash.h"
+
+namespace snipepost {
+
+namespace {
+
+// Primes. Each serves at least 100 slots per backend up to its limit (the
+// paper's ratio for an imbalance of 1 %), with few steps, as a step moves keys.
+constexpr std::array<size_t, 3> kSizes{ 4093, 65521, 393209 };
+constexpr size_t kSlotsPerBackend = 100;
+
+constexpr uint64_t kOffsetSeed = 0x6f66667365740001;
+constexpr uint64_t kSkipSeed = 0x736b697000000002;
+constexpr uint16_t kFree = std::numeric_limits<uint16_t>::max();
+
+// Bounds a decision when one backend holds nearly all slots; the remaining
+// candidates are then taken in the order of the backend list.
+constexpr size_t kWalkLimit = 64;
+
+// Position of one backend in its permutation of the slots, and its credit
+// towards the next turn.
+struct Turn
+{
+  uint32_t mNext = 0;
+  uint32_t mSkip = 0;
+  uint32_t mCredit = 0;
+};
+
+Turn
+FirstTurn(const Address& aAgent, size_t aSize)
+{
+  Turn turn;
+  turn.mNext = static_cast<uint32_t>(HashAddress(aAgent, kOffsetSeed) % aSize);
+  turn.mSkip =
+    static_cast<uint32_t>(HashAddress(aAgent, kSkipSeed) % (aSize - 1) + 1);
+  return turn;
+}
+
+void
+Advance(Turn& aTurn, size_t aSize)
+{
+  const size_t next = size_t{ aTurn.mNext } + aTurn.mSkip;
+  aTurn.mNext = static_cast<uint32_t>(next < aSize ? next : next - aSize);
+}
+
+// Scales a 32-bit hash to a slot (Lemire, 2019), without a division.
+size_t
+SlotOf(uint32_t aHash, size_t aSize)
+{
+  return (uint64_t{ aHash } * aSize) >> 32;
+}
+
+// Appends aIndex to the first aCount entries unless it is among them.
+size_t
+AddDistinct(std::span<uint16_t> aOut, size_t aCount, uint16_t aIndex)
+{
+  const auto filled = aOut.first(aCount);
+  if (std::ranges::find(filled, aIndex) != filled.end()) {
+    return aCount;
+  }
+  aOut[aCount] = aIndex;
+  return aCount + 1;
+}
+
+} // namespace
+
+size_t
+MaglevSize(size_t aBackends)
+{
+  const auto* fit = std::ranges::find_if(kSizes, [aBackends](size_t aSize) {
+    return aSize >= aBackends * kSlotsPerBackend;
+  });
+  return fit == kSizes.end() ? kSizes.back() : *fit;
+}
+
+MaglevTable::MaglevTable(std::span<const Backend> aBackends)
+  : mBackendCount(aBackends.size())
+{
+  if (!aBackends.empty()) {
+    mSlots.assign(MaglevSize(aBackends.size()), kFree);
+    Fill(aBackends);
+  }
+}
+
+// Algorithm 1 of the paper. A backend takes a turn in a round when the sum of
+// its weights over the rounds reaches the greatest weight of any backend.
+void
+MaglevTable::Fill(std::span<const Backend> aBackends)
+{
+  const size_t size = mSlots.size();
+  std::vector<Turn> turns;
+  turns.reserve(aBackends.size());
+  for (const Backend& backend : aBackends) {
+    turns.push_back(FirstTurn(backend.mAgent, size));
+  }
+  const uint32_t full =
+    std::ranges::max(aBackends, {}, &Backend::mWeight).mWeight;
+  for (size_t filled = 0;;) {
+    for (size_t i = 0; i < turns.size(); ++i) {
+      Turn& turn = turns[i];
+      turn.mCredit += aBackends[i].mWeight;
+      if (turn.mCredit < full) {
+        continue;
+      }
+      turn.mCredit -= full;
+      while (mSlots[turn.mNext] != kFree) {
+        Advance(turn, size);
+      }
+      mSlots[turn.mNext] = static_cast<uint16_t>(i);
+      if (++filled == size) {
+        return;
+      }
+    }
+  }
+}
+
+size_t
+MaglevTable::Pick(FlowKey aKey, std::span<uint16_t> aOut) const
+{
+  const size_t wanted = std::min(aOut.size(), mBackendCount);
+  if (wanted == 0) {
+    return 0;
+  }
+  const size_t size = mSlots.size();
+  const uint64_t key = aKey.Value();
+  aOut[0] = mSlots[SlotOf(static_cast<uint32_t>(key >> 32), size)];
+  size_t count = 1;
+  size_t slot = SlotOf(static_cast<uint32_t>(key), size);
+  for (size_t step = 0; count < wanted && step < kWalkLimit; ++step) {
+    count = AddDistinct(aOut, count, mSlots[slot]);
+    slot = slot + 1 < size ? slot + 1 : 0;
+  }
+  for (size_t index = aOut[0]; count < wanted;) {
+    index = index + 1 < mBackendCount ? index + 1 : 0;
+    count = AddDistinct(aOut, count, static_cast<uint16_t>(index));
+  }
+  return count;
+}
+
+size_t
+MaglevTable::MemoryBytes() const
+{
+  return sizeof *this + mSlots.capacity() * sizeof mSlots[0];
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/tests/Routing/AllocationCount.cpp
@@ -0,0 +1,40 @@
+#include "tests/Routing/AllocationCount.h"
+
+#include <cstdlib>
+#include <new>
+
+namespace {
+
+size_t sAllocations = 0;
+
+} // namespace
+
+// These stay apart from their callers: inlining only one of the two makes GCC
+// report a mismatched pair.
+void*
+operator new(size_t aSize)
+{
+  ++sAllocations;
+  if (void* memory = std::malloc(aSize)) {
+    return memory;
+  }
+  throw std::bad_alloc();
+}
+
+void
+operator delete(void* aMemory) noexcept
+{
+  std::free(aMemory);
+}
+
+void
+operator delete(void* aMemory, size_t) noexcept
+{
+  std::free(aMemory);
+}
+
+size_t
+snipepost::test::AllocationCount()
+{
+  return sAllocations;
+}
--- /dev/null
+++ b/tests/Routing/TableTest.cpp
@@ -0,0 +1,146 @@
+#include <snipepost/Routing/Table.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+#include <snipepost/Base/Random.h>
+
+#include "tests/Routing/Support.h"
+
+using namespace snipepost;
+using namespace snipepost::test;
+
+namespace {
+
+constexpr std::array<TableKind, 2> kKinds{ TableKind::Maglev,
+                                           TableKind::Rendezvous };
+constexpr size_t kKeys = 20000;
+
+std::vector<Address>
+Pick(const Table& aTable,
+     const std::vector<Backend>& aBackends,
+     FlowKey aKey,
+     size_t aCount)
+{
+  std::vector<uint16_t> picked(aCount);
+  picked.resize(aTable.Pick(aKey, picked));
+  std::vector<Address> agents;
+  for (uint16_t index : picked) {
+    agents.push_back(aBackends[index].mAgent);
+  }
+  return agents;
+}
+
+// Share of keys whose first candidate differs although it is in both lists.
+double
+NeedlesslyMoved(TableKind aKind,
+                const std::vector<Backend>& aLeft,
+                const std::vector<Backend>& aRight,
+                const Address& aChanged)
+{
+  const auto left = BuildTable(aKind, aLeft);
+  const auto right = BuildTable(aKind, aRight);
+  Random random(52);
+  size_t moved = 0;
+  for (size_t i = 0; i < kKeys; ++i) {
+    const FlowKey key(random.Below(UINT64_MAX));
+    const Address before = Pick(*left, aLeft, key, 1)[0];
+    const Address after = Pick(*right, aRight, key, 1)[0];
+    moved += before != after && before != aChanged && after != aChanged;
+  }
+  return static_cast<double>(moved) / kKeys;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TableTest)
+
+// Guards against a list with fewer or repeated candidates, which would leave
+// an agent nobody to hand a flow on to.
+BOOST_AUTO_TEST_CASE(CandidatesAreDistinctAndDeterministic)
+{
+  CheckProperty(51, [] {
+    const TableKind kind = *rc::gen::elementOf(kKinds);
+    auto backends = MakeBackends(*rc::gen::inRange<size_t>(0, 60));
+    for (Backend& backend : backends) {
+      backend.mWeight =
+        *rc::gen::elementOf(std::vector<uint16_t>{ 0, 1, 1, 2, 5, 65535 });
+    }
+    backends = NormalizeBackends(backends);
+    const FlowKey key(*rc::gen::arbitrary<uint64_t>());
+    const auto table = BuildTable(kind, backends);
+    const auto agents = Pick(*table, backends, key, 4);
+    RC_ASSERT(agents.size() == std::min<size_t>(4, backends.size()));
+    RC_ASSERT(std::set(agents.begin(), agents.end()).size() == agents.size());
+    const auto again = BuildTable(kind, backends);
+    RC_ASSERT(Pick(*again, backends, key, 4) == agents);
+  });
+}
+
+// Guards against two instances that disagree because announcements reached
+// them in different orders.
+BOOST_AUTO_TEST_CASE(NormalizingIgnoresOrderAndRepetition)
+{
+  auto backends = MakeBackends(9);
+  const auto sorted = NormalizeBackends(backends);
+  BOOST_TEST(sorted.size() == 9U);
+  std::ranges::reverse(backends);
+  Backend older = backends[4];
+  backends[4].mIncarnation = 2;
+  backends.push_back(older);
+  backends.push_back({ { 1, 1 }, DomainId(1), 0, 0 });
+  const auto again = NormalizeBackends(backends);
+  BOOST_TEST(again.size() == 9U);
+  BOOST_TEST(again[4].mIncarnation == 2);
+  BOOST_TEST((again[0] == sorted[0]));
+}
+
+// Guards against a change of one backend that scatters first flights of all.
+BOOST_AUTO_TEST_CASE(AddingOneBackendMovesFewOtherKeys)
+{
+  for (size_t count : { 7, 39, 300 }) {
+    const auto larger = MakeBackends(count + 1);
+    auto smaller = larger;
+    const Address changed = smaller[count / 2].mAgent;
+    smaller.erase(smaller.begin() + static_cast<std::ptrdiff_t>(count / 2));
+    BOOST_TEST(
+      NeedlesslyMoved(TableKind::Rendezvous, smaller, larger, changed) == 0.0);
+    // Maglev trades some needless moves for speed; the paper reports similar.
+    BOOST_TEST(NeedlesslyMoved(TableKind::Maglev, smaller, larger, changed) <
+               0.05);
+  }
+}
+
+// Guards against weights that are ignored or applied twice.
+BOOST_AUTO_TEST_CASE(SharesFollowWeights)
+{
+  for (TableKind kind : kKinds) {
+    auto backends = MakeBackends(4);
+    backends[2].mWeight = 5;
+    const auto table = BuildTable(kind, backends);
+    Random random(53);
+    size_t heavy = 0;
+    for (size_t i = 0; i < kKeys; ++i) {
+      const FlowKey key(random.Below(UINT64_MAX));
+      heavy += Pick(*table, backends, key, 1)[0] == backends[2].mAgent;
+    }
+    const double share = static_cast<double>(heavy) / kKeys;
+    BOOST_TEST(share > 0.605);
+    BOOST_TEST(share < 0.645);
+  }
+}
+
+// Guards the memory limit of an entry instance at the two-year size.
+BOOST_AUTO_TEST_CASE(MaglevSizesFitTheMemoryBudget)
+{
+  for (size_t count : { 1, 40, 41, 655, 656, 3500 }) {
+    BOOST_TEST(MaglevSize(count) >= 100 * count);
+  }
+  // The costliest split of 3,500 endpoints over 970 services, current and
+  // previous tables: as many services as possible just above the first step.
+  const size_t slots = 63 * MaglevSize(41) + 907 * MaglevSize(1);
+  BOOST_TEST(2 * sizeof(uint16_t) * slots < 64U << 20);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tools/bench/FlowKeyMoves.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <vector>
+
+#include <snipepost/Routing/Table.h>
+
+namespace snipepost::bench {
+
+/// What happens to flow keys when one backend is added or removed, each as a
+/// share of all keys sampled, from 0 to 1.
+struct FlowKeyMoves
+{
+  double mMoved = 0;
+  /// Keys that move between two backends which are both in both tables.
+  double mNeedless = 0;
+  /// Keys whose first candidate is none of the first two afterwards.
+  double mLeftPair = 0;
+};
+
+/// Compares the tables of two lists of backends.
+FlowKeyMoves
+CompareTables(TableKind aKind,
+              std::span<const Backend> aBefore,
+              std::span<const Backend> aAfter);
+
+/// Keys on the busiest backend relative to the mean.
+double
+PeakLoad(TableKind aKind, std::span<const Backend> aBackends);
+
+} // namespace snipepost::bench
--- /dev/null
+++ b/tools/bench/Report.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipepost::bench {
+
+using Cell = std::variant<std::string, double>;
+
+/// Measured figures as named tables. Units are part of the column names.
+class Report
+{
+public:
+  /// Starts a table; AddRow() adds to the last one.
+  void StartTable(std::string aName, std::vector<std::string> aColumns);
+  void AddRow(std::vector<Cell> aCells);
+
+  /// Plain text with aligned columns.
+  void PrintText(std::ostream& aOut) const;
+
+  /// One object: table name to a list of rows, each an object by column name.
+  void PrintJson(std::ostream& aOut) const;
+
+private:
+  struct Section
+  {
+    std::string mName;
+    std::vector<std::string> mColumns;
+    std::vector<std::vector<Cell>> mRows;
+  };
+
+  static void PrintSection(const Section& aSection, std::ostream& aOut);
+
+  std::vector<Section> mSections;
+};
+
+} // namespace snipepost::bench
