--- /dev/null
+++ b/tests/Ctl/SubmissionTest.cpp
@@ -0,0 +1,245 @@
+#include <boost/test/unit_test.hpp>
+
+#include <snipepost/Ctl/Submission.h>
+#include <snipepost/Document/Codec.h>
+
+#include "tests/Ctl/FakeStore.h"
+#include "tests/Document/Sample.h"
+
+using namespace snipepost;
+
+namespace {
+
+constexpr uint64_t kSeed = 20261204;
+const std::string kKey = DocumentKey("rekawica");
+
+Document
+Numbered(uint64_t aGeneration, const std::string& aSubmission)
+{
+  Document document = sample::Rekawica();
+  document.mGeneration = Generation(aGeneration);
+  document.mSubmission = SubmissionId(aSubmission);
+  return document;
+}
+
+const Document kBase = Numbered(7, "base");
+const Document kOurs = Numbered(8, "ours");
+const Document kTheirs = Numbered(8, "theirs");
+
+SubmissionPlan
+Plan()
+{
+  return { kOurs, OrderOf(kBase), std::nullopt, false };
+}
+
+FakeStore
+StoreWith(const Document& aDocument)
+{
+  FakeStore store;
+  store.Set(kKey, WriteDocument(aDocument));
+  return store;
+}
+
+SubmissionResult
+Run(FakeStore& aStore, SubmissionPlan aPlan = Plan())
+{
+  BOOST_TEST_MESSAGE("seed " << kSeed);
+  Submission submission(std::move(aPlan), kSeed);
+  return RunSubmission(submission, aStore, [](Duration) {});
+}
+
+bool
+Holds(const FakeStore& aStore, const Document& aDocument)
+{
+  const auto found = aStore.mObjects.find(kKey);
+  return found != aStore.mObjects.end() &&
+         found->second.mValue == WriteDocument(aDocument);
+}
+
+bool
+HasHeldOurs(FakeStore& aStore)
+{
+  return aStore.mHistory[kKey].contains(WriteDocument(kOurs));
+}
+
+std::string
+AuditValue(const FakeStore& aStore, const std::string& aName)
+{
+  const auto found = aStore.mObjects.find("audit/rekawica/" + aName);
+  return found == aStore.mObjects.end() ? "" : found->second.mValue;
+}
+
+/// Replaces the document as another operator's snipepostctl does.
+void
+Race(FakeStore& aStore, const Document& aDocument)
+{
+  const auto current = ParseDocument(aStore.mObjects[kKey].mValue);
+  const auto entry = AuditEntryOf(*current.mValue);
+  aStore.Set("audit/rekawica/" + std::to_string(entry.mTo.Value()),
+             WriteAuditEntry(entry));
+  aStore.Set(kKey, WriteDocument(aDocument));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SubmissionTest)
+
+BOOST_AUTO_TEST_CASE(CopiesTheAuditEntryBeforeTheDocumentIsReplaced)
+{
+  FakeStore store = StoreWith(kBase);
+  store.mBeforeCall = [&](int) {
+    BOOST_TEST((!HasHeldOurs(store) || !AuditValue(store, "7").empty()));
+    return StoreFault::None;
+  };
+  BOOST_TEST((Run(store).mVerdict == Verdict::Accepted));
+  BOOST_TEST(Holds(store, kOurs));
+  BOOST_TEST(AuditValue(store, "7") == WriteAuditEntry(AuditEntryOf(kBase)));
+}
+
+BOOST_AUTO_TEST_CASE(P10_RacingOperators_TheSecondGetsAConflictWithBothSides)
+{
+  for (int call = 0; call < 3; ++call) {
+    FakeStore store = StoreWith(kBase);
+    store.mBeforeCall = [&](int aCall) {
+      if (aCall == call) {
+        Race(store, kTheirs);
+      }
+      return StoreFault::None;
+    };
+    const auto result = Run(store);
+    BOOST_TEST((result.mVerdict == Verdict::Conflict));
+    BOOST_REQUIRE(result.mTheirs);
+    BOOST_TEST((*result.mTheirs == kTheirs));
+    BOOST_TEST(Holds(store, kTheirs));
+    BOOST_TEST(!HasHeldOurs(store));
+  }
+}
+
+// Every fault at every call, once and from then on. A verdict must match what
+// the store has held: this guards against "refused" for a written document and
+// "accepted" for one that was never written.
+BOOST_AUTO_TEST_CASE(P10_LostAnswerBeforeAndAfterTheEffect_VerdictMatchesStore)
+{
+  for (const auto fault :
+       { StoreFault::Refuse, StoreFault::LoseBefore, StoreFault::LoseAfter }) {
+    for (int call = 0; call < 6; ++call) {
+      for (const int length : { 1, 2, 1000 }) {
+        FakeStore store = StoreWith(kBase);
+        store.mBeforeCall = [&](int aCall) {
+          const bool hit = aCall >= call && aCall < call + length;
+          return hit ? fault : StoreFault::None;
+        };
+        const auto result = Run(store);
+        BOOST_TEST(store.mCalls <= 4 * Submission::kMaxFailures);
+        if (length < 1000) {
+          BOOST_TEST((result.mVerdict == Verdict::Accepted));
+        }
+        if (result.mVerdict == Verdict::Accepted) {
+          BOOST_TEST(Holds(store, kOurs));
+        } else if (result.mVerdict != Verdict::Unknown) {
+          BOOST_TEST(!HasHeldOurs(store));
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(P10_LostAnswerThenReplaced_AuditEntryShowsAcceptance)
+{
+  FakeStore store = StoreWith(kBase);
+  store.mBeforeCall = [&](int aCall) {
+    if (aCall == 3) {
+      Race(store, Numbered(9, "next"));
+    }
+    return aCall == 2 ? StoreFault::LoseAfter : StoreFault::None;
+  };
+  BOOST_TEST((Run(store).mVerdict == Verdict::Accepted));
+  BOOST_TEST(Holds(store, Numbered(9, "next")));
+}
+
+BOOST_AUTO_TEST_CASE(P10_LostAnswerAndRacingOperator_IsAConflict)
+{
+  FakeStore store = StoreWith(kBase);
+  store.mBeforeCall = [&](int aCall) {
+    if (aCall == 3) {
+      Race(store, Numbered(9, "theirs"));
+    }
+    return aCall == 2 ? StoreFault::LoseBefore : StoreFault::None;
+  };
+  BOOST_TEST((Run(store).mVerdict == Verdict::Conflict));
+  BOOST_TEST(!HasHeldOurs(store));
+}
+
+// Rollback or loss of everything before each call; the documents accepted so
+// far must not come back in place of ours.
+BOOST_AUTO_TEST_CASE(P10_StoreOlderOrEmptyDuringSubmission_OursIsWritten)
+{
+  for (const bool empty : { false, true }) {
+    for (int call = 0; call < 4; ++call) {
+      FakeStore store = StoreWith(kBase);
+      store.mBeforeCall = [&](int aCall) {
+        if (aCall == call) {
+          store.mObjects.clear();
+          if (!empty) {
+            store.Set(kKey, WriteDocument(Numbered(5, "old")));
+          }
+        }
+        // The loss of this answer makes it read back.
+        return aCall == 2 ? StoreFault::LoseAfter : StoreFault::None;
+      };
+      BOOST_TEST((Run(store).mVerdict == Verdict::Accepted));
+      BOOST_TEST(Holds(store, kOurs));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(P10_StoreOlder_InstancesHoldANewerDocument_IsAConflict)
+{
+  FakeStore store = StoreWith(kBase);
+  auto plan = Plan();
+  plan.mHeld = kTheirs;
+  BOOST_TEST((Run(store, plan).mVerdict == Verdict::Conflict));
+  BOOST_TEST(Holds(store, kBase));
+  // Once the operator has edited that one, both audit entries are kept.
+  plan.mDocument = Numbered(9, "ours");
+  plan.mBase = OrderOf(kTheirs);
+  BOOST_TEST((Run(store, plan).mVerdict == Verdict::Accepted));
+  BOOST_TEST(!AuditValue(store, "7").empty());
+  BOOST_TEST(!AuditValue(store, "8").empty());
+}
+
+// Guards against losing the entry of one of two documents with one generation.
+BOOST_AUTO_TEST_CASE(P10_StoreOlder_TakenAuditKeyKeepsBothEntries)
+{
+  FakeStore store = StoreWith(kBase);
+  const auto other = WriteAuditEntry(AuditEntryOf(Numbered(7, "another")));
+  store.Set("audit/rekawica/7", other);
+  BOOST_TEST((Run(store).mVerdict == Verdict::Accepted));
+  BOOST_TEST(AuditValue(store, "7") == other);
+  BOOST_TEST(AuditValue(store, "7-base") ==
+             WriteAuditEntry(AuditEntryOf(kBase)));
+}
+
+BOOST_AUTO_TEST_CASE(P10_StoreOlderOrEmpty_RestoreWritesTheHeldDocumentBack)
+{
+  const SubmissionPlan plan{ kOurs, {}, std::nullopt, true };
+  FakeStore empty;
+  BOOST_TEST((Run(empty, plan).mVerdict == Verdict::Accepted));
+  BOOST_TEST(Holds(empty, kOurs));
+  FakeStore older = StoreWith(kBase);
+  BOOST_TEST((Run(older, plan).mVerdict == Verdict::Accepted));
+  BOOST_TEST(Holds(older, kOurs));
+  FakeStore newer = StoreWith(Numbered(9, "next"));
+  BOOST_TEST((Run(newer, plan).mVerdict == Verdict::Accepted));
+  BOOST_TEST(Holds(newer, Numbered(9, "next")));
+}
+
+BOOST_AUTO_TEST_CASE(P10_UnreadableDocumentInStore_NothingIsWritten)
+{
+  FakeStore store;
+  store.Set(kKey, "{\"deployment\": \"rekawica\"");
+  BOOST_TEST((Run(store).mVerdict == Verdict::Refused));
+  BOOST_TEST(store.mCalls == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
