--- /dev/null
+++ b/tests/Admission/AgentCoreTest.cpp
@@ -0,0 +1,219 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include <snipepost/Admission/AgentCore.h>
+
+using namespace snipepost;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant kStart{ 100s };
+const KeyRing kKeys(SecretKey{ 1 });
+const Address kAgent{ 0x7f000001, 4433 };
+
+/// An agent with a warm backend server and a lease.
+struct WarmAgent
+{
+  AgentCore mCore{ { .mAddress = kAgent, .mIncarnation = Incarnation(5) },
+                   {},
+                   kKeys,
+                   kStart };
+  Instant mNow = kStart;
+
+  WarmAgent()
+  {
+    mCore.OnLease({ kStart + 1h }, mNow);
+    mCore.OnBackendState({ .mReachable = true, .mBoot = "one" }, mNow);
+    mNow += 20s;
+  }
+
+  Effects Send(uint64_t aId,
+               RequestClass aClass,
+               const std::string& aKey = {},
+               Duration aLeft = 10s)
+  {
+    return mCore.OnRequest({ .mRequest = RequestId(aId),
+                             .mFlow = FlowId(1),
+                             .mClass = aClass,
+                             .mIdempotent = aClass != RequestClass::Submission,
+                             .mKey = aKey,
+                             .mDeadline = mNow + aLeft },
+                           mNow);
+  }
+
+  Effects End(uint64_t aId, BackendOutcome aOutcome)
+  {
+    return mCore.OnBackendResult(
+      { .mRequest = RequestId(aId),
+        .mOutcome = aOutcome,
+        .mResponse = std::make_shared<const std::string>("done") },
+      mNow);
+  }
+
+  std::string Key() const { return mCore.IssueKeyScope(mNow) + ".k"; }
+};
+
+template<typename Type>
+const Type*
+Find(const Effects& aEffects, uint64_t aId)
+{
+  for (const Effect& effect : aEffects) {
+    const auto* found = std::get_if<Type>(&effect);
+    if (found && found->mRequest.Value() == aId) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+template<typename Type>
+bool
+Has(const Effects& aEffects)
+{
+  return std::any_of(
+    aEffects.begin(), aEffects.end(), [](const Effect& aEffect) {
+      return std::holds_alternative<Type>(aEffect);
+    });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AgentCoreTest)
+
+// Guards against bulk transfers that fill all slots, and against bulk
+// transfers that wait although slots are idle.
+BOOST_AUTO_TEST_CASE(BulkUsesAllSlotsButOne)
+{
+  WarmAgent agent;
+  for (uint64_t id = 1; id <= 3; ++id) {
+    BOOST_TEST(Find<PassOn>(agent.Send(id, RequestClass::Bulk), id));
+  }
+  BOOST_TEST(agent.Send(4, RequestClass::Bulk).empty());
+  BOOST_TEST(Find<PassOn>(agent.Send(5, RequestClass::Query), 5));
+  BOOST_TEST(Find<PassOn>(agent.End(1, BackendOutcome::Answered), 4));
+}
+
+BOOST_AUTO_TEST_CASE(P7_Duplicate_GetsTheAnswerOfTheFirst)
+{
+  WarmAgent agent;
+  const std::string key = agent.Key();
+  BOOST_TEST(Find<PassOn>(agent.Send(1, RequestClass::Submission, key), 1));
+  BOOST_TEST(agent.Send(2, RequestClass::Submission, key).empty());
+  const auto effects = agent.End(1, BackendOutcome::Answered);
+  BOOST_REQUIRE(Find<AnswerStored>(effects, 2));
+  BOOST_TEST(*Find<AnswerStored>(effects, 2)->mResponse == "done");
+  BOOST_TEST(
+    Find<AnswerStored>(agent.Send(3, RequestClass::Submission, key), 3));
+}
+
+// Guards against a caller that loses its flow and with it the response.
+BOOST_AUTO_TEST_CASE(P7_FlowLost_RetryGetsTheAnswer)
+{
+  WarmAgent agent;
+  const std::string key = agent.Key();
+  agent.Send(1, RequestClass::Submission, key);
+  BOOST_TEST(agent.mCore.OnFlowClosed({ FlowId(1) }, agent.mNow).empty());
+  agent.Send(2, RequestClass::Submission, key);
+  BOOST_TEST(Find<AnswerStored>(agent.End(1, BackendOutcome::Answered), 2));
+}
+
+BOOST_AUTO_TEST_CASE(P6_BackendBroken_OutcomeDependsOnTheRequest)
+{
+  WarmAgent agent;
+  agent.Send(1, RequestClass::Submission);
+  BOOST_TEST(Find<AnswerUnknown>(agent.End(1, BackendOutcome::Broken), 1));
+  agent.Send(2, RequestClass::Query);
+  BOOST_TEST(Find<PassOn>(agent.End(2, BackendOutcome::Broken), 2));
+  agent.Send(3, RequestClass::Submission);
+  BOOST_TEST(Find<Reject>(agent.End(3, BackendOutcome::Refused), 3));
+}
+
+// Guards against keys that are run by an agent which can't know whether they
+// ran before.
+BOOST_AUTO_TEST_CASE(P7_ForeignScopes_AreNotRun)
+{
+  WarmAgent agent;
+  const auto key = [&](Address aAddress, uint64_t aIncarnation, int aIssued) {
+    const KeyScope scope{ aAddress,
+                          Incarnation(aIncarnation),
+                          static_cast<uint32_t>(aIssued) };
+    return WriteKeyScope(scope, kKeys) + ".k";
+  };
+  const auto submission = RequestClass::Submission;
+  const Address other{ 0x7f000002, 4433 };
+  const auto relayed = agent.Send(1, submission, key(other, 5, 110));
+  BOOST_REQUIRE(Find<Relay>(relayed, 1));
+  BOOST_TEST((Find<Relay>(relayed, 1)->mAgent == other));
+  const auto older = agent.Send(2, submission, key(kAgent, 4, 110));
+  BOOST_TEST(Find<AnswerUnknown>(older, 2));
+  agent.mNow = kStart + 10min;
+  const auto expired = agent.Send(3, submission, key(kAgent, 5, 110));
+  BOOST_TEST(Find<AnswerUnknown>(expired, 3));
+  BOOST_TEST(Find<Reject>(agent.Send(4, submission, "junk"), 4));
+}
+
+BOOST_AUTO_TEST_CASE(P9_Shutdown_WaitsForRequestsInProgress)
+{
+  WarmAgent agent;
+  agent.Send(1, RequestClass::Query);
+  const auto effects = agent.mCore.OnShutdown({}, agent.mNow);
+  BOOST_TEST(Has<SendShutdownNotice>(effects));
+  BOOST_TEST((agent.mCore.NextTick(agent.mNow) == agent.mNow + 1s));
+  agent.mNow += 1s;
+  const auto closing = agent.mCore.OnTick({}, agent.mNow);
+  BOOST_TEST(Has<SendFinalGoaway>(closing));
+  BOOST_TEST(!Has<ReadyToExit>(closing));
+  BOOST_TEST(Find<Reject>(agent.Send(2, RequestClass::Query), 2));
+  BOOST_TEST(Has<ReadyToExit>(agent.End(1, BackendOutcome::Answered)));
+}
+
+BOOST_AUTO_TEST_CASE(P4_DomainOut_ClosesEverything)
+{
+  WarmAgent agent;
+  agent.mCore.OnFlowOpened({ FlowId(1) }, agent.mNow);
+  agent.Send(1, RequestClass::Submission, agent.Key());
+  agent.Send(2, RequestClass::Submission, agent.Key());
+  const auto effects =
+    agent.mCore.OnConfig({ { .mDomainOut = true } }, agent.mNow);
+  BOOST_TEST(Find<AnswerUnknown>(effects, 1));
+  BOOST_TEST(Find<AnswerUnknown>(effects, 2));
+  BOOST_TEST(Has<CloseFlow>(effects));
+  BOOST_TEST(effects.size() == 4U);
+  BOOST_TEST(Find<Reject>(agent.Send(3, RequestClass::Query), 3));
+  agent.End(1, BackendOutcome::Broken);
+  agent.mCore.OnConfig({ {} }, agent.mNow);
+  BOOST_TEST(agent.mCore.Load(agent.mNow).mLimit == 1U);
+}
+
+// Guards against an agent that was replaced during a pause and goes on.
+BOOST_AUTO_TEST_CASE(PausedPastLease_AcceptsNothing)
+{
+  WarmAgent agent;
+  const FirstPacket opening{};
+  const auto accept = HuntingDecision::Action::Accept;
+  BOOST_TEST(
+    (agent.mCore.OnFirstPacket(opening, agent.mNow).mAction == accept));
+  agent.mNow = kStart + 1h;
+  BOOST_TEST(
+    (agent.mCore.OnFirstPacket(opening, agent.mNow).mAction != accept));
+  BOOST_TEST(Find<Reject>(agent.Send(1, RequestClass::Query), 1));
+}
+
+// Guards against a slot that is given away while the backend server may still
+// be busy with the request whose deadline passed.
+BOOST_AUTO_TEST_CASE(P3_DeadlineMissed_SlotIsHeldUntilTheStreamEnds)
+{
+  WarmAgent agent;
+  agent.Send(1, RequestClass::Query, {}, 1s);
+  agent.mNow += 1s;
+  const auto effects = agent.mCore.OnTick({}, agent.mNow);
+  BOOST_TEST(Find<AnswerUnknown>(effects, 1));
+  BOOST_TEST(Find<Cancel>(effects, 1));
+  BOOST_TEST(agent.mCore.Load(agent.mNow).mInFlight == 1U);
+  BOOST_TEST(agent.End(1, BackendOutcome::Broken).empty());
+  BOOST_TEST(agent.mCore.Load(agent.mNow).mInFlight == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Admission/DrainStateTest.cpp
@@ -0,0 +1,45 @@
+#include <boost/test/unit_test.hpp>
+
+#include <snipepost/Admission/DrainState.h>
+
+using namespace snipepost;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant kStart{ 100s };
+using Phase = DrainState::Phase;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DrainStateTest)
+
+// Guards against a final GOAWAY without the notice before it, after a pause.
+BOOST_AUTO_TEST_CASE(P8_Paused_NoPhaseIsSkipped)
+{
+  DrainState drain{ DrainOptions{} };
+  BOOST_TEST(!drain.Advance(kStart));
+  drain.Start(kStart);
+  for (const Phase phase :
+       { Phase::Noticed, Phase::Closing, Phase::Emptying }) {
+    BOOST_TEST(drain.Advance(kStart + 60s));
+    BOOST_TEST((drain.Current() == phase));
+  }
+  BOOST_TEST(!drain.Advance(kStart + 60s));
+}
+
+BOOST_AUTO_TEST_CASE(PhasesFollowTheirTimes)
+{
+  DrainState drain{ DrainOptions{} };
+  drain.Start(kStart);
+  BOOST_TEST(drain.Advance(kStart));
+  drain.Start(kStart + 500ms);
+  BOOST_TEST(!drain.Advance(kStart + 999ms));
+  BOOST_TEST(drain.Advance(kStart + 1s));
+  BOOST_TEST((drain.NextStep() == kStart + 4s));
+  drain.Stop();
+  BOOST_TEST((drain.Current() == Phase::Serving));
+  BOOST_TEST(!drain.NextStep().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Admission/IdempotencyTableTest.cpp
@@ -0,0 +1,78 @@
+#include <boost/test/unit_test.hpp>
+
+#include <snipepost/Admission/IdempotencyTable.h>
+
+using namespace snipepost;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant kStart{ 100s };
+using State = IdempotencyTable::State;
+
+ResponseBytes
+Response(size_t aSize)
+{
+  return std::make_shared<const std::string>(aSize, 'x');
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(IdempotencyTableTest)
+
+// P7: guards against eviction that would let an old key run again.
+BOOST_AUTO_TEST_CASE(P7_TableFull_NewKeysAreRefused)
+{
+  IdempotencyTable table(IdempotencyOptions{ .mMaxEntries = 2 });
+  BOOST_TEST(table.Begin("a", kStart));
+  BOOST_TEST(table.Begin("b", kStart + 1s));
+  BOOST_TEST(!table.Begin("c", kStart + 2s));
+  table.SetUnknown("a");
+  table.Expire(kStart + 10min - 1s);
+  BOOST_TEST(!table.Begin("c", kStart + 10min - 1s));
+  table.Expire(kStart + 10min);
+  BOOST_TEST(table.Begin("c", kStart + 10min));
+  // "b" is in progress and outlives its time.
+  table.Expire(kStart + 15min);
+  BOOST_TEST((table.Find("b")->mState == State::InProgress));
+}
+
+BOOST_AUTO_TEST_CASE(ResponsesBeyondTheBoundsAreNotStored)
+{
+  IdempotencyTable table(
+    IdempotencyOptions{ .mMaxResponseBytes = 10, .mMaxTotalBytes = 15 });
+  for (const char* key : { "a", "b", "c", "d" }) {
+    table.Begin(key, kStart);
+  }
+  table.Answer("a", Response(11));
+  table.Answer("b", Response(10));
+  table.Answer("c", Response(6));
+  table.Answer("d", nullptr);
+  BOOST_TEST((table.Find("a")->mState == State::Unknown));
+  BOOST_TEST((table.Find("b")->mState == State::Answered));
+  BOOST_TEST((table.Find("c")->mState == State::Unknown));
+  BOOST_TEST((table.Find("d")->mState == State::Unknown));
+  table.Expire(kStart + 10min);
+  BOOST_TEST(table.Begin("e", kStart + 10min));
+  table.Answer("e", Response(10));
+  BOOST_TEST((table.Find("e")->mState == State::Answered));
+}
+
+// Guards against a forgotten key whose second record inherits the expiry of
+// the first.
+BOOST_AUTO_TEST_CASE(ForgottenKeyStartsANewLife)
+{
+  IdempotencyTable table(IdempotencyOptions{ .mMaxWaiters = 1 });
+  table.Begin("a", kStart);
+  BOOST_TEST(table.Wait("a", RequestId(5)));
+  BOOST_TEST(!table.Wait("a", RequestId(6)));
+  BOOST_TEST(table.Forget("a").size() == 1U);
+  BOOST_TEST(table.Find("a") == nullptr);
+  table.Begin("a", kStart + 4min);
+  BOOST_TEST(table.Wait("a", RequestId(7)));
+  table.Answer("a", Response(1));
+  table.Expire(kStart + 10min);
+  BOOST_TEST((table.Find("a")->mState == State::Answered));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Admission/KeyScopeTest.cpp
@@ -0,0 +1,65 @@
+#include <boost/test/unit_test.hpp>
+
+#include <snipepost/Admission/KeyScope.h>
+
+using namespace snipepost;
+
+namespace {
+
+const KeyRing kKeys(SecretKey{ 1, 2, 3 });
+const KeyScope kScope{ { 0x7f000001, 4433 }, Incarnation(77), 1234 };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(KeyScopeTest)
+
+BOOST_AUTO_TEST_CASE(TokenSurvivesWritingAndParsing)
+{
+  const std::string token = WriteKeyScope(kScope, kKeys);
+  BOOST_TEST(token.size() == kKeyScopeLength);
+  BOOST_TEST(token.size() < 96);
+  BOOST_TEST((ParseKeyScope(token, kKeys).mScope == kScope));
+  BOOST_TEST((ParseIdempotencyKey(token + ".a-1", kKeys).mScope == kScope));
+}
+
+// Guards against callers that name another agent, incarnation or issue time.
+BOOST_AUTO_TEST_CASE(EveryChangedDigitFailsTheTag)
+{
+  const std::string token = WriteKeyScope(kScope, kKeys);
+  for (size_t i = 0; i < token.size(); ++i) {
+    std::string forged = token;
+    forged[i] = forged[i] == '0' ? '1' : '0';
+    const auto parsed = ParseKeyScope(forged, kKeys);
+    BOOST_TEST(!parsed.mScope, "digit " << i);
+    BOOST_TEST((parsed.mError == KeyScopeError::Unverified));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RefusesTextThatIsNoKey)
+{
+  const std::string token = WriteKeyScope(kScope, kKeys);
+  for (const std::string& text : { std::string(),
+                                   std::string("."),
+                                   token,
+                                   token + ".",
+                                   token + ".a b",
+                                   token + ".\x7f",
+                                   "0" + token + ".a",
+                                   token.substr(1) + ".a",
+                                   std::string(kKeyScopeLength, 'G') + ".a" }) {
+    const auto parsed = ParseIdempotencyKey(text, kKeys);
+    BOOST_TEST(!parsed.mScope, text);
+    BOOST_TEST((parsed.mError == KeyScopeError::Malformed), text);
+  }
+}
+
+// Guards against a replaced secret that makes old keys look unused: the error
+// must differ from that of text that never was a key.
+BOOST_AUTO_TEST_CASE(OtherSecretIsUnverified)
+{
+  const KeyRing other(SecretKey{ 9 });
+  const std::string token = WriteKeyScope(kScope, other);
+  BOOST_TEST((ParseKeyScope(token, kKeys).mError == KeyScopeError::Unverified));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
