--- a/include/snipepost/Document/Document.h
+++ b/include/snipepost/Document/Document.h
@@ -63,7 +63,7 @@
   bool operator==(const FailureDomain&) const = default;
 };
 
-enum class BackendState
+enum class BackendRuleState
 {
   Admitted,
   Draining,
@@ -74,7 +74,7 @@
 {
   ServiceId mService;
   Address mAddress;
-  BackendState mState = BackendState::Admitted;
+  BackendRuleState mState = BackendRuleState::Admitted;
 
   bool operator==(const BackendRule&) const = default;
 };
--- a/include/snipepost/Document/Edit.h
+++ b/include/snipepost/Document/Edit.h
@@ -46,7 +46,7 @@
 {
   std::string mService;
   Address mAddress;
-  BackendState mState = BackendState::Admitted;
+  BackendRuleState mState = BackendRuleState::Admitted;
 };
 
 /// A planned change that names its target by text: a failure domain's name or
--- a/include/snipepost/Document/Effective.h
+++ b/include/snipepost/Document/Effective.h
@@ -26,7 +26,7 @@
   SubmissionId mSubmission;
   std::map<ServiceId, Service> mServices;
   std::map<DomainId, FailureDomain> mDomains;
-  std::map<BackendTarget, BackendState> mRules;
+  std::map<BackendTarget, BackendRuleState> mRules;
 
   /// False when the domain is out or the document does not name it.
   bool IsIn(DomainId aDomain) const;
--- a/src/Document/Effective.cpp
+++ b/src/Document/Effective.cpp
@@ -25,8 +25,8 @@
   void operator()(const BackendTarget& aTarget) const
   {
     mConfig.mRules[aTarget] = mAction == PlannedAction::Drain
-                                ? BackendState::Draining
-                                : BackendState::Admitted;
+                                ? BackendRuleState::Draining
+                                : BackendRuleState::Admitted;
   }
 };
 
@@ -61,8 +61,9 @@
   }
   const auto rule = mRules.find(aBackend);
   if (rule != mRules.end()) {
-    return rule->second == BackendState::Admitted ? BackendStanding::Admitted
-                                                  : BackendStanding::Draining;
+    return rule->second == BackendRuleState::Admitted
+             ? BackendStanding::Admitted
+             : BackendStanding::Draining;
   }
   return service->second.mAdmission == AdmissionMode::Automatic
            ? BackendStanding::Admitted
--- a/src/Document/Holding.cpp
+++ b/src/Document/Holding.cpp
@@ -119,7 +119,7 @@
         supply.mEndpoints =
           std::ranges::count_if(aConfig.mRules, [&](const auto& aRule) {
             return aRule.first.mService == item.first &&
-                   aRule.second == BackendState::Admitted;
+                   aRule.second == BackendRuleState::Admitted;
           });
       }
       supply.mSlots = supply.mEndpoints * service.mSlots;
--- a/src/Document/Schema.h
+++ b/src/Document/Schema.h
@@ -57,11 +57,11 @@
 };
 
 template<>
-struct EnumNames<BackendState>
+struct EnumNames<BackendRuleState>
 {
-  static constexpr std::array<std::pair<BackendState, std::string_view>, 2>
-    kNames{ { { BackendState::Admitted, "admitted" },
-              { BackendState::Draining, "draining" } } };
+  static constexpr std::array<std::pair<BackendRuleState, std::string_view>, 2>
+    kNames{ { { BackendRuleState::Admitted, "admitted" },
+              { BackendRuleState::Draining, "draining" } } };
 };
 
 template<>
--- a/tests/Document/CodecPropertyTest.cpp
+++ b/tests/Document/CodecPropertyTest.cpp
@@ -48,7 +48,7 @@
   for (uint64_t i = random.Below(5); i > 0; --i) {
     const BackendTarget target{ ServiceId(1), AnyAddress(random) };
     document.mBackends.push_back(
-      { target.mService, target.mAddress, BackendState::Draining });
+      { target.mService, target.mAddress, BackendRuleState::Draining });
     document.mPlanned.push_back(
       { sample::kNow + std::chrono::seconds(random.Below(100000)),
         PlannedAction::Admit,
--- a/tests/Document/EditTest.cpp
+++ b/tests/Document/EditTest.cpp
@@ -72,8 +72,9 @@
 BOOST_AUTO_TEST_CASE(RemovingAServiceRemovesItsRulesAndPlans)
 {
   Document document = sample::Rekawica();
-  document = Edited(
-    document, SetBackend{ "sizing-desk", kBackend, BackendState::Draining });
+  document =
+    Edited(document,
+           SetBackend{ "sizing-desk", kBackend, BackendRuleState::Draining });
   const PlanText plan{ kNow + std::chrono::hours(1),
                        PlannedAction::Admit,
                        "sizing-desk/127.0.2.1:9000" };
--- a/tests/Document/ValidateTest.cpp
+++ b/tests/Document/ValidateTest.cpp
@@ -55,7 +55,7 @@
   document.mServices[1].mId = ServiceId(1);
   document.mServices[1].mAddress = document.mServices[0].mAddress;
   document.mDomains[2].mName = document.mDomains[0].mName;
-  document.mBackends = { { ServiceId(8), {}, BackendState::Draining } };
+  document.mBackends = { { ServiceId(8), {}, BackendRuleState::Draining } };
   document.mPlanned = {
     { kNow, PlannedAction::Drain, kFirst },
     { kNow, PlannedAction::DomainIn, kFirst },
