Add the HTTP/2 client and server module

Control streams and the hop to a backend server need to tell a request that did not run from one whose outcome is unknown. The client reports Refused and NotSent only when nghttp2 shows that nothing was processed; everything else is Broken or TimedOut. Stream windows open only after the consumer took the data; the connection window is replenished at once, so that one slow consumer does not block the other streams.

RST_STREAM submitted right after a response overtakes it in nghttp2, so the 413 and 431 answers are reset only once their HEADERS frame was sent.

--- /dev/null
+++ b/include/snipepost/Http2/Client.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <asio.hpp>
+
+#include <snipepost/Base/Address.h>
+#include <snipepost/Base/Types.h>
+#include <snipepost/Http2/Message.h>
+
+namespace snipepost::http2 {
+
+/// How a request ended.
+enum class Result
+{
+  Answered,  ///< The complete response has arrived.
+  Refused,   ///< The server declared that it did not process the request.
+  NotSent,   ///< No part of the request left this process.
+  Broken,    ///< Connection or stream lost; it may have been processed.
+  TimedOut,  ///< No complete response in time; it may have been processed.
+  Cancelled, ///< Cancel() was called; it may have been processed.
+};
+
+/// Names a result for log lines.
+std::string_view
+ToString(Result aResult);
+
+/// Identifies a request within its Client.
+using RequestId = Strong<struct RequestIdTag, uint64_t>;
+
+/// A request. The client adds the pseudo-headers.
+struct Request
+{
+  std::string mMethod = "GET";
+  std::string mPath = "/";
+  Headers mHeaders{};
+  std::string mBody{};
+  /// When true, mBody is only the beginning: Write() and EndBody() follow.
+  bool mStreamed = false;
+  /// Time limit from Send() to the end of the response; 0 means none.
+  Duration mTimeout{ 0 };
+};
+
+/// Called on the io_context, never from within a member function of Client.
+/// After mOnEnd, which is called exactly once, no other is called.
+struct ResponseCallbacks
+{
+  /// The final response's status and headers.
+  std::function<void(int, Headers)> mOnHeaders;
+  /// A piece of the body. The peer may send more only after Client::Consume()
+  /// has been called for the bytes.
+  std::function<void(Chunk)> mOnData;
+  /// The buffer of a streamed request body has room again.
+  std::function<void()> mOnWritable;
+  std::function<void(Result)> mOnEnd;
+};
+
+/// A response whose body was collected.
+struct Response
+{
+  int mStatus = 0;
+  Headers mHeaders;
+  std::string mBody;
+  /// The body exceeded the limit of Collect() and was cut off there.
+  bool mTruncated = false;
+};
+
+struct ClientOptions
+{
+  /// Loopback and in-region connects take milliseconds; a SYN that is lost
+  /// once is repeated after 1 s.
+  Duration mConnectTimeout = std::chrono::seconds(3);
+  /// Bytes of a response that the peer may send ahead of Consume().
+  int32_t mStreamWindow = 256 * 1024;
+};
+
+/// An HTTP/2 client (cleartext, prior knowledge) with one connection, opened
+/// by the first request and reopened by the first one after it broke or the
+/// server announced its shutdown. Destroying it drops the open requests
+/// without calling their callbacks.
+class Client
+{
+public:
+  Client(asio::io_context& aContext, Address aServer, ClientOptions = {});
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  /// Starts a request.
+  RequestId Send(Request aRequest, ResponseCallbacks aCallbacks);
+
+  /// Starts a request and collects at most aLimit bytes of its response body.
+  RequestId Collect(Request aRequest,
+                    size_t aLimit,
+                    std::function<void(Result, Response)> aDone);
+
+  /// Resets the request's stream with CANCEL and ends it with Cancelled. Does
+  /// nothing for a request that has ended.
+  void Cancel(RequestId aRequest);
+
+  /// Reports that aBytes of the response body have been taken.
+  void Consume(RequestId aRequest, size_t aBytes);
+
+  /// Appends to a streamed request body. Returns false when the buffer is full:
+  /// the bytes are kept, but the next should wait for mOnWritable.
+  bool Write(RequestId aRequest, std::string_view aBytes);
+
+  /// Ends a streamed request body.
+  void EndBody(RequestId aRequest);
+
+  /// Closes the connection. Open requests end with Broken or NotSent.
+  void Close();
+
+  /// True while a connection is established and usable.
+  bool Connected() const;
+
+  class Impl;
+
+private:
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace snipepost::http2
--- /dev/null
+++ b/include/snipepost/Http2/Server.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <asio.hpp>
+
+#include <snipepost/Base/Address.h>
+#include <snipepost/Base/Types.h>
+#include <snipepost/Http2/Message.h>
+
+namespace snipepost::http2 {
+
+/// Error codes of RFC 9113 section 7 that a handler may reset a stream with.
+enum class ResetCode : uint32_t
+{
+  NoError = 0x0,
+  InternalError = 0x2,
+  RefusedStream = 0x7, ///< The request was not processed.
+  Cancel = 0x8,
+};
+
+/// A request with its complete body.
+struct ServerRequest
+{
+  std::string mMethod;
+  std::string mPath;
+  Headers mHeaders;
+  std::string mBody;
+  Address mPeer;
+};
+
+/// Answers one request, at once or later. All functions do nothing once the
+/// response has ended, the stream was reset or the connection was lost.
+class Responder
+{
+public:
+  virtual ~Responder() = default;
+
+  /// Sends a complete response.
+  virtual void Respond(int aStatus, Headers aHeaders, std::string aBody) = 0;
+
+  /// Starts a streamed response; Write() and End() follow.
+  virtual void Start(int aStatus, Headers aHeaders) = 0;
+
+  /// Appends to a streamed response. Returns false when the buffer is full: the
+  /// bytes are kept, but the next should wait for OnWritable().
+  virtual bool Write(std::string_view aBytes) = 0;
+
+  /// Ends a streamed response.
+  virtual void End() = 0;
+
+  /// Resets the stream. RefusedStream promises that nothing was processed.
+  virtual void Reset(ResetCode aCode) = 0;
+
+  /// Sets what to call once when the caller cancels or the connection is lost
+  /// before the response was sent completely.
+  virtual void OnCancel(std::function<void()> aCallback) = 0;
+
+  /// Sets what to call when the buffer of a streamed response has room again.
+  virtual void OnWritable(std::function<void()> aCallback) = 0;
+
+  /// True until the response was ended, reset or cancelled.
+  virtual bool Open() const = 0;
+};
+
+/// Called for each complete request. Dropping the responder without an answer
+/// resets the stream with INTERNAL_ERROR.
+using Handler = std::function<void(ServerRequest, std::shared_ptr<Responder>)>;
+
+struct ServerOptions
+{
+  /// A longer request body is answered with 413.
+  size_t mMaxBody = 1024UL * 1024;
+  /// A longer header list (RFC 9113 section 6.5.2 size) is answered with 431.
+  size_t mMaxHeaderBytes = 16UL * 1024;
+  uint32_t mMaxStreams = 100;
+  /// Connections above this number are closed at once.
+  size_t mMaxConnections = 1000;
+  /// A connection that has not sent the preface by then is closed.
+  Duration mPrefaceTimeout = std::chrono::seconds(5);
+  /// Time between the shutdown notice and the final GOAWAY, in which requests
+  /// sent before the caller saw the notice still arrive.
+  Duration mGoAwayDelay = std::chrono::milliseconds(100);
+};
+
+/// An HTTP/2 server (cleartext, prior knowledge).
+class Server
+{
+public:
+  /// Listens on aAddress; port 0 picks a free one. Throws std::system_error
+  /// when that is impossible.
+  Server(asio::io_context& aContext,
+         Address aAddress,
+         Handler aHandler,
+         ServerOptions = {});
+  /// Closes everything as Close() does, but calls no callback any more.
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  /// The address that it listens on.
+  Address LocalAddress() const;
+
+  /// Number of open connections.
+  size_t Connections() const;
+
+  /// Stops accepting, announces the shutdown on every connection, lets the
+  /// requests in progress finish, then calls aDone.
+  void Shutdown(std::function<void()> aDone);
+
+  /// Stops accepting and closes all connections at once.
+  void Close();
+
+  class Impl;
+
+private:
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace snipepost::http2
--- /dev/null
+++ b/tests/Http2/Loop.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+
+#include <asio.hpp>
+
+#include <snipepost/Base/Address.h>
+
+namespace snipepost {
+
+constexpr Address kAnyPort{ 0x7f000001, 0 };
+
+/// Runs handlers until aDone holds. False after 20 s, which only a fault that
+/// keeps the condition from ever holding can reach.
+inline bool
+RunUntil(asio::io_context& aContext, const std::function<bool()>& aDone)
+{
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (!aDone()) {
+    aContext.restart();
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    aContext.run_one_for(std::chrono::milliseconds(100));
+  }
+  return true;
+}
+
+/// Runs handlers until none is ready.
+inline void
+RunReady(asio::io_context& aContext)
+{
+  aContext.restart();
+  aContext.poll();
+}
+
+} // namespace snipepost
