--- /dev/null
+++ b/tools/callers/Flow.cpp
@@ -0,0 +1,287 @@
+#include "tools/callers/Flow.h"
+
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include <asio/post.hpp>
+
+namespace snipepost::tools {
+
+namespace {
+
+namespace ip = asio::ip;
+
+constexpr size_t kMaxDatagram = 2048;
+// Bounds how long one flow's input keeps the others waiting.
+constexpr int kReadsAtOnce = 64;
+// Bulk downloads would be limited by the default window on links of 10 ms.
+constexpr size_t kStreamWindow = size_t{ 512 } * 1024;
+constexpr size_t kConnectionWindow = size_t{ 1024 } * 1024;
+
+ip::udp::endpoint
+ToEndpoint(const Address& aAddress)
+{
+  return { ip::address_v4(aAddress.mIp), aAddress.mPort };
+}
+
+QuicLimits
+MakeLimits()
+{
+  QuicLimits limits;
+  limits.mStreamWindow = kStreamWindow;
+  limits.mConnectionWindow = kConnectionWindow;
+  return limits;
+}
+
+std::chrono::steady_clock::time_point
+ToSteady(Instant aInstant)
+{
+  return std::chrono::steady_clock::time_point(
+    std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+      aInstant.time_since_epoch()));
+}
+
+} // namespace
+
+Instant
+Now()
+{
+  return Instant(std::chrono::duration_cast<Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+Flow::Flow(asio::io_context& aContext,
+           const Address& aService,
+           FlowOwner& aOwner)
+  : mSocket(aContext, ip::udp::endpoint(ip::address_v4::loopback(), 0))
+  , mTimer(aContext)
+  , mRemote(ToEndpoint(aService))
+  , mOwner(aOwner)
+{
+  static const Credentials sCredentials = Credentials::ForUnverifyingCaller();
+  mSocket.non_blocking(true);
+  const ip::udp::endpoint local = mSocket.local_endpoint();
+  auto send = [this](std::span<const uint8_t> aBytes) {
+    // A datagram that the socket doesn't take counts as lost.
+    asio::error_code ignored;
+    mSocket.send_to(
+      asio::buffer(aBytes.data(), aBytes.size()), mRemote, 0, ignored);
+  };
+  mConnection = std::make_unique<ClientConnection>(
+    sCredentials,
+    MakeLimits(),
+    "snipepost",
+    Address{ local.address().to_v4().to_uint(), local.port() },
+    aService,
+    send,
+    *this,
+    Now());
+}
+
+void
+Flow::Start()
+{
+  Receive();
+  Schedule();
+}
+
+std::optional<StreamId>
+Flow::Submit(const HttpFields& aFields,
+             std::span<const uint8_t> aBody,
+             std::shared_ptr<Exchange> aExchange)
+{
+  if (!IsUsable()) {
+    return std::nullopt;
+  }
+  const auto stream = mConnection->Submit(aFields, aBody);
+  if (stream) {
+    mExchanges[*stream] = std::move(aExchange);
+    Schedule();
+  }
+  return stream;
+}
+
+void
+Flow::Cancel(StreamId aStream)
+{
+  if (Take(aStream)) {
+    mConnection->Cancel(aStream);
+    CloseIfIdle();
+    Schedule();
+  }
+}
+
+void
+Flow::Retire()
+{
+  mRetired = true;
+  CloseIfIdle();
+}
+
+void
+Flow::Close()
+{
+  mRetired = true;
+  mConnection->Close(Http3Error::NoError);
+  Schedule();
+}
+
+void
+Flow::CloseIfIdle()
+{
+  if (mRetired && mExchanges.empty()) {
+    Close();
+  }
+}
+
+void
+Flow::Receive()
+{
+  mSocket.async_wait(
+    ip::udp::socket::wait_read,
+    [self = shared_from_this()](const asio::error_code& aError) {
+      if (!aError && !self->mOver) {
+        self->ReadSocket();
+        self->Receive();
+      }
+    });
+}
+
+void
+Flow::ReadSocket()
+{
+  std::array<uint8_t, kMaxDatagram> buffer;
+  for (int i = 0; i < kReadsAtOnce; ++i) {
+    asio::error_code error;
+    ip::udp::endpoint from;
+    const size_t size =
+      mSocket.receive_from(asio::buffer(buffer), from, 0, error);
+    if (error) {
+      break;
+    }
+    if (from == mRemote) {
+      mConnection->OnDatagram({ buffer.data(), size }, Now());
+    }
+  }
+  Pump();
+}
+
+void
+Flow::Schedule()
+{
+  if (!mScheduled && !mOver) {
+    mScheduled = true;
+    asio::post(mSocket.get_executor(),
+               [self = shared_from_this()] { self->Pump(); });
+  }
+}
+
+void
+Flow::Pump()
+{
+  mScheduled = false;
+  if (mOver) {
+    return;
+  }
+  mConnection->Flush(Now());
+  if (mOver) {
+    return;
+  }
+  const Instant next = mConnection->NextDeadline();
+  if (next == Instant::max()) {
+    mTimer.cancel();
+    return;
+  }
+  mTimer.expires_at(ToSteady(next));
+  mTimer.async_wait(
+    [self = shared_from_this()](const asio::error_code& aError) {
+      if (!aError && !self->mOver) {
+        self->mConnection->OnTimer(Now());
+        self->Pump();
+      }
+    });
+}
+
+std::shared_ptr<Exchange>
+Flow::Take(StreamId aStream)
+{
+  auto node = mExchanges.extract(aStream);
+  return node.empty() ? nullptr : std::move(node.mapped());
+}
+
+void
+Flow::OnConnected()
+{
+  mWasOpen = true;
+  mOwner.OnFlowOpened(*this);
+}
+
+void
+Flow::OnClosed(ClientEnd aEnd, uint64_t /* aErrorCode */)
+{
+  mOver = true;
+  mTimer.cancel();
+  asio::error_code ignored;
+  mSocket.close(ignored);
+  mOwner.OnFlowClosed(*this, aEnd, mWasOpen);
+}
+
+void
+Flow::OnResponseHeaders(StreamId aStream, const HttpFields& aFields)
+{
+  const auto found = mExchanges.find(aStream);
+  if (found != mExchanges.end()) {
+    found->second->OnHeaders(aFields);
+  }
+}
+
+void
+Flow::OnResponseBody(StreamId aStream, std::span<const uint8_t> aBytes)
+{
+  const auto found = mExchanges.find(aStream);
+  if (found != mExchanges.end()) {
+    found->second->OnBody(aBytes);
+  }
+}
+
+void
+Flow::OnResponseEnd(StreamId aStream)
+{
+  if (auto exchange = Take(aStream)) {
+    exchange->OnEnd();
+    mOwner.OnFlowRoom(*this);
+    CloseIfIdle();
+  }
+}
+
+void
+Flow::OnRejected(StreamId aStream)
+{
+  if (auto exchange = Take(aStream)) {
+    exchange->OnRejected();
+    mOwner.OnFlowRoom(*this);
+    CloseIfIdle();
+  }
+}
+
+void
+Flow::OnResponseBroken(StreamId aStream, uint64_t /* aErrorCode */)
+{
+  if (auto exchange = Take(aStream)) {
+    exchange->OnBroken();
+    mOwner.OnFlowRoom(*this);
+    CloseIfIdle();
+  }
+}
+
+void
+Flow::OnGoaway(StreamId /* aLast */)
+{
+  if (!mRetired) {
+    mRetired = true;
+    mOwner.OnFlowRetired(*this);
+  }
+}
+
+} // namespace snipepost::tools
--- /dev/null
+++ b/tools/callers/Journal.cpp
@@ -0,0 +1,123 @@
+#include "tools/callers/Journal.h"
+
+#include <algorithm>
+#include <fstream>
+
+#include <boost/json.hpp>
+
+namespace snipepost::tools {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string
+Text(const json::object& aObject, std::string_view aName)
+{
+  const json::value* value = aObject.if_contains(aName);
+  if (value == nullptr || !value->is_string()) {
+    return {};
+  }
+  return std::string(value->get_string());
+}
+
+} // namespace
+
+bool
+Journal::AddFile(const std::string& aFile)
+{
+  std::ifstream in(aFile);
+  if (!in) {
+    return false;
+  }
+  for (std::string line; std::getline(in, line);) {
+    AddLine(line);
+  }
+  return true;
+}
+
+void
+Journal::AddLine(const std::string& aLine)
+{
+  json::error_code error;
+  const json::value parsed = json::parse(aLine, error);
+  if (error || !parsed.is_object()) {
+    ++mBadLines;
+    return;
+  }
+  const json::object& entry = parsed.get_object();
+  if (Text(entry, "event") != "start") {
+    return;
+  }
+  ++mByServer[Text(entry, "server")];
+  const std::string key = Text(entry, "key");
+  if (!key.empty()) {
+    ++mByKey[key];
+  }
+}
+
+uint64_t
+Journal::Starts(const std::string& aKey) const
+{
+  const auto found = mByKey.find(aKey);
+  return found == mByKey.end() ? 0 : found->second;
+}
+
+uint64_t
+Journal::DoubledKeys() const
+{
+  return static_cast<uint64_t>(
+    std::count_if(mByKey.begin(), mByKey.end(), [](const auto& aEntry) {
+      return aEntry.second > 1;
+    }));
+}
+
+std::optional<double>
+Journal::Imbalance() const
+{
+  uint64_t sum = 0;
+  uint64_t max = 0;
+  for (const auto& [server, count] : mByServer) {
+    sum += count;
+    max = std::max(max, count);
+  }
+  if (sum == 0) {
+    return std::nullopt;
+  }
+  return static_cast<double>(max) * static_cast<double>(mByServer.size()) /
+         static_cast<double>(sum);
+}
+
+void
+KeyLedger::Use(uint64_t aRequest, const std::string& aKey)
+{
+  auto& keys = mByRequest[aRequest];
+  if (std::find(keys.begin(), keys.end(), aKey) == keys.end()) {
+    keys.push_back(aKey);
+  }
+}
+
+uint64_t
+KeyLedger::Contradictions(const Journal& aJournal) const
+{
+  return static_cast<uint64_t>(
+    std::count_if(mNotRun.begin(), mNotRun.end(), [&](const auto& aKey) {
+      return aJournal.Starts(aKey) > 0;
+    }));
+}
+
+uint64_t
+KeyLedger::DoubledRequests(const Journal& aJournal) const
+{
+  uint64_t doubled = 0;
+  for (const auto& [request, keys] : mByRequest) {
+    uint64_t starts = 0;
+    for (const std::string& key : keys) {
+      starts += aJournal.Starts(key);
+    }
+    doubled += starts > 1 ? 1 : 0;
+  }
+  return doubled;
+}
+
+} // namespace snipepost::tools
--- /dev/null
+++ b/tools/callers/Report.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <iosfwd>
+#include <optional>
+#include <string>
+
+#include "tools/callers/Journal.h"
+#include "tools/callers/Statistics.h"
+
+namespace snipepost::tools {
+
+/// What the journals add to the callers' own view.
+struct JournalFindings
+{
+  uint64_t mDoubledKeys = 0;
+  uint64_t mDoubledRequests = 0;
+  uint64_t mContradictions = 0;
+  std::optional<double> mImbalance;
+  std::map<std::string, uint64_t> mStartsByServer;
+};
+
+/// Results of one run.
+struct Report
+{
+  const Statistics& mStatistics;
+  std::optional<JournalFindings> mJournals;
+
+  void WriteTable(std::ostream& aOut) const;
+  /// False when the file can't be written.
+  bool WriteJson(const std::string& aFile) const;
+  /// No broken flow, doubled run, contradiction or wrong answer.
+  bool IsClean() const;
+};
+
+} // namespace snipepost::tools
--- /dev/null
+++ b/tools/callers/RequestClass.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace snipepost::tools {
+
+/// Kinds of requests; the values index tables.
+enum class RequestClass : uint8_t
+{
+  Submission,
+  Query,
+  Bulk,
+  Session,
+};
+
+constexpr size_t kClasses = 4;
+constexpr std::array<RequestClass, kClasses> kAllClasses{
+  RequestClass::Submission,
+  RequestClass::Query,
+  RequestClass::Bulk,
+  RequestClass::Session
+};
+constexpr std::array<std::string_view, kClasses> kClassNames{ "submission",
+                                                              "query",
+                                                              "bulk",
+                                                              "session" };
+
+constexpr size_t
+IndexOf(RequestClass aClass)
+{
+  return static_cast<size_t>(aClass);
+}
+
+} // namespace snipepost::tools
--- /dev/null
+++ b/tools/callers/Statistics.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include <boost/histogram.hpp>
+
+#include <snipepost/Base/Types.h>
+
+#include "tools/callers/RequestClass.h"
+
+namespace snipepost::tools {
+
+/// What a request came to in the end.
+enum class Result : uint8_t
+{
+  Ok,
+  /// The last attempt was rejected: nothing ran.
+  ToldNotRun,
+  /// 502 "outcome unknown", or a broken flow that no retry resolved.
+  Unknown,
+  /// Bytes that differ, are missing, or answer another request.
+  Wrong,
+  /// Any other status than 200.
+  OtherStatus,
+  /// No answer by the deadline.
+  TimedOut,
+};
+
+constexpr size_t kResults = 6;
+
+/// Latencies in milliseconds in logarithmic bins 1% wide.
+class LatencyHistogram
+{
+public:
+  LatencyHistogram();
+  void Add(Duration aLatency);
+  /// Upper edge of the bin that holds the given share (0 to 1) of all values,
+  /// in milliseconds; 0 when there are none.
+  double Quantile(double aShare) const;
+
+private:
+  using Axis =
+    boost::histogram::axis::regular<double,
+                                    boost::histogram::axis::transform::log>;
+  using Histogram =
+    decltype(boost::histogram::make_histogram(Axis(1, 1.0, 2.0)));
+  Histogram mHistogram;
+  uint64_t mCount = 0;
+};
+
+/// Counters of one class in one second of the run.
+struct SecondCounters
+{
+  uint64_t mAttempted = 0;
+  std::array<uint64_t, kResults> mResults{};
+  uint64_t mBroken = 0;
+  double mMaxLatencyMs = 0;
+};
+
+/// Everything counted about one class.
+struct ClassStatistics
+{
+  uint64_t mAttempted = 0;
+  uint64_t mRetries = 0;
+  std::array<uint64_t, kResults> mResults{};
+  /// Responses that broke off, each attempt counted.
+  uint64_t mBroken = 0;
+  LatencyHistogram mLatency;
+  /// By second since the start of the run: attempts by their intended start,
+  /// results by the time they came.
+  std::vector<SecondCounters> mSeconds;
+
+  uint64_t Count(Result aResult) const
+  {
+    return mResults[static_cast<size_t>(aResult)];
+  }
+};
+
+class Statistics
+{
+public:
+  /// aStart is the start of the run.
+  explicit Statistics(Instant aStart)
+    : mStart(aStart)
+  {
+  }
+
+  void OnAttempt(RequestClass aClass, Instant aIntended);
+  void OnRetry(RequestClass aClass);
+  void OnBroken(RequestClass aClass, Instant aNow);
+  void OnResult(RequestClass aClass,
+                Result aResult,
+                Instant aIntended,
+                Instant aNow);
+  const ClassStatistics& Of(RequestClass aClass) const
+  {
+    return mClasses[IndexOf(aClass)];
+  }
+
+  uint64_t mFlowsOpened = 0;
+  uint64_t mFlowsRefused = 0;
+  /// Connections that ended neither by this side nor after a GOAWAY.
+  uint64_t mFlowsLost = 0;
+  uint64_t mGoaways = 0;
+
+private:
+  SecondCounters& At(ClassStatistics& aClass, Instant aTime);
+
+  Instant mStart;
+  std::array<ClassStatistics, kClasses> mClasses;
+};
+
+} // namespace snipepost::tools
--- /dev/null
+++ b/tools/common/BulkBytes.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <array>
+#include <bit>
+#include <cstdint>
+#include <cstring>
+#include <span>
+
+#include <xxhash.h>
+
+namespace snipepost::tools {
+
+static_assert(std::endian::native == std::endian::little);
+
+/// Writes the bytes from aOffset on of the bulk body with seed aSeed. Byte i
+/// is byte i % 8 (little-endian) of XXH64 of the 8-byte little-endian block
+/// number i / 8 with that seed. `backend` sends these bytes and `callers`
+/// checks them.
+inline void
+FillBulkBytes(uint64_t aSeed, uint64_t aOffset, std::span<uint8_t> aOut)
+{
+  size_t done = 0;
+  while (done < aOut.size()) {
+    const uint64_t at = aOffset + done;
+    const uint64_t block = at / 8;
+    const uint64_t hash = XXH64(&block, sizeof block, aSeed);
+    std::array<uint8_t, 8> bytes;
+    std::memcpy(bytes.data(), &hash, sizeof hash);
+    for (size_t i = at % 8; i < 8 && done < aOut.size(); ++i) {
+      aOut[done++] = bytes[i];
+    }
+  }
+}
+
+} // namespace snipepost::tools
