Detect flows whose server vanished; back off after early GOAWAYs

A cancellation that is not acknowledged within 2 s now marks the flow as lost and its requests as broken. A server that sends GOAWAY on every new connection made the callers reconnect in a tight loop (2,141 flows in 4 s); they back off now.

--- a/tests/Quic/MemoryTest.cpp
+++ b/tests/Quic/MemoryTest.cpp
@@ -20,7 +20,7 @@
   constexpr size_t kConnections = 200;
   // Measured: 161,202 bytes on x86-64 with glibc. The TLS session, which is
   // released after the handshake, would not fit into the rest.
-  constexpr size_t kMaxBytes = 170 * 1024;
+  constexpr size_t kMaxBytes = size_t{ 170 } * 1024;
   FakeNetwork network(40);
   for (size_t i = 0; i < 5; ++i) {
     network.AddCaller();
--- /dev/null
+++ b/tests/tools/callers/JournalTest.cpp
@@ -0,0 +1,80 @@
+#include <boost/test/unit_test.hpp>
+
+#include "tools/callers/Journal.h"
+
+using namespace snipepost::tools;
+
+namespace {
+
+void
+AddStart(Journal& aJournal, const std::string& aKey, const std::string& aServer)
+{
+  aJournal.AddLine(R"({"event":"start","key":")" + aKey + R"(","server":")" +
+                   aServer + R"("})");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(JournalTest)
+
+// Guards against a checker that misses a submission that ran twice.
+BOOST_AUTO_TEST_CASE(P7_SameKeyTwice_Doubled)
+{
+  Journal journal;
+  AddStart(journal, "a", "s1");
+  AddStart(journal, "b", "s1");
+  journal.AddLine(R"({"event":"end","key":"b","server":"s1"})");
+  BOOST_TEST(journal.DoubledKeys() == 0);
+  AddStart(journal, "a", "s2");
+  BOOST_TEST(journal.DoubledKeys() == 1);
+}
+
+// Guards against a checker that misses a submission that ran under two keys.
+BOOST_AUTO_TEST_CASE(P7_TwoKeysOfOneRequest_Doubled)
+{
+  Journal journal;
+  KeyLedger ledger;
+  ledger.Use(1, "a");
+  ledger.Use(1, "a");
+  ledger.Use(1, "b");
+  AddStart(journal, "a", "s1");
+  BOOST_TEST(ledger.DoubledRequests(journal) == 0);
+  AddStart(journal, "b", "s1");
+  BOOST_TEST(ledger.DoubledRequests(journal) == 1);
+}
+
+// Guards against a checker that believes a wrong "did not run".
+BOOST_AUTO_TEST_CASE(P6_ToldNotRunButStarted_Contradiction)
+{
+  Journal journal;
+  KeyLedger ledger;
+  ledger.ToldNotRun("a");
+  ledger.ToldNotRun("b");
+  ledger.Reuse("b");
+  AddStart(journal, "b", "s1");
+  BOOST_TEST(ledger.Contradictions(journal) == 0);
+  AddStart(journal, "a", "s1");
+  BOOST_TEST(ledger.Contradictions(journal) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ImbalanceIsMaxOverMean)
+{
+  Journal journal;
+  BOOST_TEST(!journal.Imbalance());
+  AddStart(journal, "a", "s1");
+  AddStart(journal, "b", "s1");
+  AddStart(journal, "c", "s1");
+  AddStart(journal, "d", "s2");
+  BOOST_TEST(journal.Imbalance().value() == 1.5);
+}
+
+// Guards against a killed server's last line ending the evaluation.
+BOOST_AUTO_TEST_CASE(CutLine_Counted)
+{
+  Journal journal;
+  journal.AddLine(R"({"event":"sta)");
+  journal.AddLine("[]");
+  BOOST_TEST(journal.BadLines() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tools/callers/Caller.cpp
+++ b/tools/callers/Caller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include <asio/post.hpp>
 
@@ -18,6 +19,10 @@
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(20);
 constexpr Duration kMaxBackoff = std::chrono::seconds(1);
 constexpr int kMaxAttempts = 4;
+// A flow that lasted this long ends the back-off between connections.
+constexpr Duration kStableTime = std::chrono::seconds(1);
+// Several probe timeouts of a path of a few milliseconds with loss.
+constexpr Duration kAcknowledgeTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -173,19 +178,52 @@
 }
 
 void
-Caller::OnTick(Instant aNow)
+Caller::CancelOverdue(Instant aNow)
 {
   for (auto it = mActive.begin(); it != mActive.end();) {
     const auto flow = it->mFlow.lock();
     const bool over = it->mAttempt->IsOver() || !flow;
     if (!over && it->mRequest->mDone) {
+      if (flow->mUnanswered.empty()) {
+        flow->mUnansweredSince = aNow;
+      }
+      flow->mUnanswered.push_back(it->mRequest->mClass);
       flow->Cancel(it->mStream);
     }
     it = over || it->mRequest->mDone ? mActive.erase(it) : std::next(it);
   }
+}
+
+void
+Caller::CheckUnanswered(Instant aNow)
+{
+  std::vector<std::shared_ptr<Flow>> flows(mOld.begin(), mOld.end());
+  if (mCurrent) {
+    flows.push_back(mCurrent);
+  }
+  for (const auto& flow : flows) {
+    if (flow->mUnanswered.empty() ||
+        aNow - flow->mUnansweredSince < kAcknowledgeTime) {
+      continue;
+    }
+    for (RequestClass cls : std::exchange(flow->mUnanswered, {})) {
+      mRun.Counters().OnBroken(cls, aNow);
+    }
+    flow->Abandon();
+  }
+}
+
+void
+Caller::OnTick(Instant aNow)
+{
+  CancelOverdue(aNow);
+  CheckUnanswered(aNow);
   if (!mCurrent) {
     return;
   }
+  if (mCurrent->IsUsable() && aNow - mCurrent->OpenedAt() >= kStableTime) {
+    mBackoff = kFirstBackoff;
+  }
   if (mCurrent->mScope.empty() ||
       aNow - mCurrent->mScopeTime >= kScopeRefresh) {
     FetchScope();
@@ -306,7 +344,6 @@
   if (mCurrent.get() != &aFlow) {
     return;
   }
-  mBackoff = kFirstBackoff;
   FetchScope();
   Drain();
 }
@@ -315,9 +352,18 @@
 Caller::OnFlowRetired(Flow& aFlow)
 {
   ++mRun.Counters().mGoaways;
-  if (mCurrent.get() == &aFlow) {
+  if (mCurrent.get() != &aFlow) {
+    return;
+  }
+  if (Now() - aFlow.OpenedAt() >= kStableTime) {
     ReplaceFlow();
+    return;
   }
+  // Every server that answers may be leaving; don't reconnect at once.
+  std::shared_ptr<Flow> old = std::move(mCurrent);
+  mOld.push_back(old);
+  OpenFlowLater();
+  asio::post(mRun.Context(), [old] { old->Retire(); });
 }
 
 void
--- a/tools/callers/Caller.h
+++ b/tools/callers/Caller.h
@@ -55,6 +55,9 @@
   void OpenFlow();
   void OpenFlowLater();
   void ReplaceFlow();
+  void CancelOverdue(Instant aNow);
+  /// Gives up on flows that don't acknowledge a cancellation.
+  void CheckUnanswered(Instant aNow);
   void FetchScope();
   /// Submits waiting requests to the current flow.
   void Drain();
--- a/tools/callers/Flow.cpp
+++ b/tools/callers/Flow.cpp
@@ -127,6 +127,13 @@
   Schedule();
 }
 
+void
+Flow::Abandon()
+{
+  mAbandoned = true;
+  Close();
+}
+
 void
 Flow::CloseIfIdle()
 {
@@ -161,6 +168,8 @@
       break;
     }
     if (from == mRemote) {
+      mLastReceived = Now();
+      mUnanswered.clear();
       mConnection->OnDatagram({ buffer.data(), size }, Now());
     }
   }
@@ -214,6 +223,7 @@
 Flow::OnConnected()
 {
   mWasOpen = true;
+  mOpenedAt = Now();
   mOwner.OnFlowOpened(*this);
 }
 
@@ -224,7 +234,7 @@
   mTimer.cancel();
   asio::error_code ignored;
   mSocket.close(ignored);
-  mOwner.OnFlowClosed(*this, aEnd, mWasOpen);
+  mOwner.OnFlowClosed(*this, mAbandoned ? ClientEnd::TimedOut : aEnd, mWasOpen);
 }
 
 void
--- a/tools/callers/Flow.h
+++ b/tools/callers/Flow.h
@@ -7,9 +7,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <snipepost/Quic/ClientConnection.h>
 
+#include "tools/callers/RequestClass.h"
+
 namespace snipepost::tools {
 
 /// The time of the monotonic clock.
@@ -58,6 +61,9 @@
 
   bool IsUsable() const { return mConnection->IsOpen() && !mRetired; }
   size_t InProgress() const { return mExchanges.size(); }
+  Instant OpenedAt() const { return mOpenedAt; }
+  /// When the last datagram came.
+  Instant LastReceived() const { return mLastReceived; }
 
   /// Sends a request; nothing when the flow has no room for it.
   std::optional<StreamId> Submit(const HttpFields& aFields,
@@ -69,11 +75,20 @@
   void Retire();
   void Close();
 
+  /// Gives up on a flow whose server doesn't answer any more: requests in
+  /// progress are reported as broken.
+  void Abandon();
+
   /// Key scope of this connection's agent, and when it was asked for.
   std::string mScope;
   Instant mScopeTime{};
   bool mScopePending = false;
 
+  /// Requests cancelled at their deadline since a datagram last came, and when
+  /// the first was. The cancellation makes a live server acknowledge.
+  std::vector<RequestClass> mUnanswered;
+  Instant mUnansweredSince{};
+
 private:
   void OnConnected() override;
   void OnClosed(ClientEnd aEnd, uint64_t aErrorCode) override;
@@ -99,9 +114,12 @@
   FlowOwner& mOwner;
   std::unique_ptr<ClientConnection> mConnection;
   std::map<StreamId, std::shared_ptr<Exchange>> mExchanges;
+  Instant mOpenedAt{};
+  Instant mLastReceived{};
   bool mScheduled = false;
   bool mWasOpen = false;
   bool mRetired = false;
+  bool mAbandoned = false;
   bool mOver = false;
 };
 
