Wire the daemon's two roles

Cause: the pure cores need sockets, timers, control streams and a store. Change: module Daemon and the program snipepostd with the roles entry and agent, settings, control server, status and metrics.

--- /dev/null
+++ b/src/Daemon/AgentInstance.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include <asio.hpp>
+
+#include <snipepost/Admission/AgentCore.h>
+#include <snipepost/Metrics/Registry.h>
+#include <snipepost/Net/DatagramSocket.h>
+#include <snipepost/Quic/ServerEndpoint.h>
+#include <snipepost/Routing/PacketHeader.h>
+
+#include <src/Daemon/BackendMonitor.h>
+#include <src/Daemon/ControlPlane.h>
+#include <src/Daemon/ControlServer.h>
+#include <src/Daemon/RequestPipeline.h>
+#include <src/Daemon/ReturnPaths.h>
+
+namespace snipepost {
+
+/// The agent role: ends callers' connections beside one backend server, and
+/// carries out the admission core's decisions.
+class AgentInstance
+  : private DatagramHandler
+  , private ControlOwner
+  , private ServerEvents
+{
+public:
+  /// aOnExit is called when nothing is in progress after BeginShutdown().
+  AgentInstance(asio::io_context& aContext,
+                const DaemonSettings& aSettings,
+                Credentials aCredentials,
+                std::function<void()> aOnExit);
+
+  /// Drains: requests in progress finish, new ones are rejected.
+  void BeginShutdown();
+
+private:
+  // DatagramHandler
+  void OnDatagram(std::span<const uint8_t> aBytes,
+                  const Address& aFrom) override;
+  void OnBatchEnd() override;
+
+  // ControlOwner
+  void OnViewChanged() override;
+  void SendProbePacket(const Address&) override {}
+  void OnControlTick(Instant aNow) override;
+
+  // ServerEvents
+  void OnFlowOpened(ConnectionHandle aFlow) override;
+  void OnFlowClosed(ConnectionHandle aFlow, FlowEnd aEnd) override;
+  void OnRequestHeaders(RequestHandle aRequest,
+                        const HttpFields& aFields) override;
+  void OnRequestBody(RequestHandle aRequest,
+                     std::span<const uint8_t> aBytes) override;
+  void OnRequestEnd(RequestHandle aRequest) override;
+  void OnRequestCancelled(RequestHandle aRequest) override;
+  void OnResponseDrained(RequestHandle aRequest) override;
+  void OnRequestDone(RequestHandle aRequest) override;
+
+  /// A request on a caller's stream; its number once it is complete.
+  struct Incoming
+  {
+    HttpFields mFields;
+    std::string mBody;
+    std::optional<RequestId> mId;
+  };
+
+  void HandleFlowPacket(const Packet& aPacket,
+                        std::span<const uint8_t> aBytes,
+                        const Address& aFrom);
+  void Deliver(const Packet& aPacket, const Address& aFrom);
+  void HandOn(const Packet& aPacket, uint8_t aCandidate);
+  void AnswerProbe(const Address& aFrom);
+  void SendReply(std::span<const uint8_t> aPayload,
+                 const Address& aCaller,
+                 ConnectionHandle aFlow);
+  LoadReport Load() const;
+  void OnRelayRequest(http2::ServerRequest aRequest,
+                      std::shared_ptr<http2::Responder> aResponder);
+  void Admit(CallerRequest aRequest,
+             std::unique_ptr<ResponseSink> aSink,
+             std::optional<RequestHandle> aHandle);
+  void Admission(const Event& aEvent);
+  template<typename RequestEffect>
+  void Perform(const RequestEffect& aEffect)
+  {
+    mPipeline.Perform(aEffect);
+  }
+  void Perform(const SendShutdownNotice& aEffect);
+  void Perform(const SendFinalGoaway& aEffect);
+  void Perform(const CloseFlow& aEffect);
+  void Perform(const ReadyToExit& aEffect);
+  void ApplyConfig();
+  void UpdateState(Instant aNow);
+  void Leave();
+  void SchedulePump();
+  void Pump();
+  boost::json::object Status() const;
+  ConnectionIdBytes IssueRouteId();
+
+  /// Metrics of the data path.
+  struct Counters
+  {
+    explicit Counters(Registry& aRegistry);
+    Counter& mFlowsAccepted;
+    Counter& mHandedOn;
+    Counter& mFlowsRefused;
+    Counter& mDropped;
+    Counter& mBadPackets;
+    Counter& mReplies;
+    Counter& mNoReturnPath;
+  };
+
+  asio::io_context& mContext;
+  KeyRing mKeys;
+  DaemonSettings mSettings;
+  std::function<void()> mOnExit;
+  Registry mRegistry;
+  Counters mCounters;
+  DatagramSocket mSocket;
+  ControlPlane mControl;
+  ControlServer mServer;
+  AgentCore mCore;
+  ServerEndpoint mEndpoint;
+  RequestPipeline mPipeline;
+  BackendMonitor mMonitor;
+  ReturnPaths mPaths;
+  asio::steady_timer mTimer;
+  Random mRandom;
+  std::map<RequestHandle, Incoming> mIncoming;
+  std::map<RequestId, RequestHandle> mHandles;
+  Address mDelivering; ///< Sender of the packet that is being handled.
+  std::chrono::milliseconds mDefaultDeadline{ 5000 };
+  bool mBulkService = false;
+  bool mPumpScheduled = false;
+  bool mLeaving = false;
+};
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Daemon/CallerRequests.cpp
@@ -0,0 +1,113 @@
+#include <src/Daemon/CallerRequests.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace snipepost {
+
+namespace {
+
+/// Longest deadline that a caller may ask for: a bench session or a download
+/// on a slow line ends within it.
+constexpr std::chrono::milliseconds kMaxDeadline = std::chrono::hours(2);
+
+std::chrono::milliseconds
+DeadlineOf(std::string_view aText, std::chrono::milliseconds aDefault)
+{
+  int64_t count = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, count);
+  if (aText.empty() || parsed.ec != std::errc{} || parsed.ptr != end ||
+      count <= 0) {
+    return aDefault;
+  }
+  return std::min(std::chrono::milliseconds(count), kMaxDeadline);
+}
+
+bool
+IsIdempotent(std::string_view aMethod)
+{
+  return aMethod == "GET" || aMethod == "HEAD" || aMethod == "OPTIONS";
+}
+
+/// Fields that belong to one hop, or that this hop sets anew.
+bool
+IsDropped(std::string_view aName)
+{
+  return aName.starts_with(':') || aName == "deadline-ms" ||
+         aName == "connection" || aName == "te" || aName == "host" ||
+         aName.starts_with("snipepost-");
+}
+
+} // namespace
+
+CallerRequest
+FromCaller(const HttpFields& aFields,
+           std::string aBody,
+           std::chrono::milliseconds aDefaultDeadline,
+           Instant aNow)
+{
+  CallerRequest request;
+  request.mMethod = FieldValue(aFields, ":method");
+  request.mPath = FieldValue(aFields, ":path");
+  for (const HttpField& field : aFields) {
+    if (!IsDropped(field.mName)) {
+      request.mHeaders.emplace_back(field.mName, field.mValue);
+    }
+  }
+  request.mBody = std::move(aBody);
+  request.mIdempotent = IsIdempotent(request.mMethod);
+  request.mDeadline =
+    aNow + DeadlineOf(FieldValue(aFields, "deadline-ms"), aDefaultDeadline);
+  return request;
+}
+
+std::optional<CallerRequest>
+FromRelay(const http2::ServerRequest& aRequest,
+          std::chrono::milliseconds aDefaultDeadline,
+          Instant aNow)
+{
+  CallerRequest request;
+  request.mMethod = http2::FindHeader(aRequest.mHeaders, "snipepost-method");
+  request.mPath = http2::FindHeader(aRequest.mHeaders, "snipepost-path");
+  if (request.mMethod.empty() || request.mPath.empty()) {
+    return std::nullopt;
+  }
+  for (const auto& header : aRequest.mHeaders) {
+    if (!IsDropped(header.first)) {
+      request.mHeaders.push_back(header);
+    }
+  }
+  request.mBody = aRequest.mBody;
+  request.mIdempotent = IsIdempotent(request.mMethod);
+  request.mDeadline =
+    aNow + DeadlineOf(http2::FindHeader(aRequest.mHeaders, "deadline-ms"),
+                      aDefaultDeadline);
+  return request;
+}
+
+RequestClass
+ClassOf(const CallerRequest& aRequest, bool aBulkService)
+{
+  if (!aRequest.mIdempotent) {
+    return RequestClass::Submission;
+  }
+  const auto priority = http2::FindHeader(aRequest.mHeaders, "priority");
+  const size_t urgency = priority.find("u=");
+  const bool low = urgency != std::string_view::npos &&
+                   urgency + 2 < priority.size() &&
+                   priority[urgency + 2] >= '5' && priority[urgency + 2] <= '7';
+  return low || aBulkService ? RequestClass::Bulk : RequestClass::Query;
+}
+
+std::array<uint8_t, 1 + kConnectionIdLength>
+ShortHeaderFor(const ConnectionIdBytes& aId)
+{
+  constexpr uint8_t kShortHeader = 0x40;
+  std::array<uint8_t, 1 + kConnectionIdLength> bytes;
+  bytes[0] = kShortHeader;
+  std::copy(aId.begin(), aId.end(), bytes.begin() + 1);
+  return bytes;
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Daemon/ControlPlane.cpp
@@ -0,0 +1,334 @@
+#include <src/Daemon/ControlPlane.h>
+
+#include <random>
+
+#include <snipepost/Document/Codec.h>
+#include <snipepost/Document/Order.h>
+#include <snipepost/Membership/Codec.h>
+#include <snipepost/Settings/Log.h>
+
+namespace snipepost {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration kTick = 50ms;
+constexpr Duration kPeerTimeout = 2s;
+constexpr Duration kWatchWait = 25s;
+constexpr Duration kIdlePeer = 30s;
+
+/// Accepts the valid documents of one deployment.
+DocumentInspector
+InspectorFor(const std::string& aDeployment)
+{
+  return
+    [aDeployment](const std::string& aText) -> std::optional<DocumentVersion> {
+      const auto parsed = ParseDocument(aText);
+      if (!parsed.mValue || parsed.mValue->mDeployment != aDeployment) {
+        return std::nullopt;
+      }
+      return DocumentVersion{ parsed.mValue->mGeneration,
+                              parsed.mValue->mSubmission };
+    };
+}
+
+MembershipOptions
+OptionsOf(const DaemonSettings& aSettings)
+{
+  MembershipOptions options;
+  options.mDeployment = aSettings.mDeployment;
+  options.mSeeds = aSettings.mPeers;
+  options.mLease = aSettings.mLease;
+  options.mProbeInterval = aSettings.mProbeInterval;
+  options.mExchangeInterval = aSettings.mExchangeInterval;
+  return options;
+}
+
+/// The record of this process. Milliseconds of the calendar make a later life
+/// greater than an earlier one.
+InstanceRecord
+OwnRecord(const DaemonSettings& aSettings)
+{
+  InstanceRecord own;
+  own.mRole = aSettings.mRole;
+  own.mAddress = aSettings.mListen;
+  own.mDomain = DomainId(static_cast<uint8_t>(aSettings.mDomain));
+  own.mRegion = static_cast<uint8_t>(aSettings.mRegion);
+  own.mService = ServiceId(static_cast<uint16_t>(aSettings.mService));
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  own.mVersion.mIncarnation = Incarnation(static_cast<uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+  return own;
+}
+
+StoreOutcome
+FromClient(ObjectOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ObjectOutcome::Done:
+      return StoreOutcome::Done;
+    case ObjectOutcome::Conflict:
+      return StoreOutcome::Conflict;
+    case ObjectOutcome::Absent:
+      return StoreOutcome::Absent;
+    case ObjectOutcome::Refused:
+      return StoreOutcome::Refused;
+    case ObjectOutcome::Unknown:
+      return StoreOutcome::Unknown;
+  }
+  return StoreOutcome::Unknown;
+}
+
+StoreObject
+FromClient(StoredObject&& aObject)
+{
+  return { std::move(aObject.mKey),
+           aObject.mVersion,
+           std::move(aObject.mValue) };
+}
+
+http2::Request
+PeerRequest(const char* aMethod, const char* aPath, std::string aBody = {})
+{
+  http2::Request request;
+  request.mMethod = aMethod;
+  request.mPath = aPath;
+  request.mBody = std::move(aBody);
+  request.mTimeout = kPeerTimeout;
+  return request;
+}
+
+bool
+Succeeded(http2::Result aResult, const http2::Response& aResponse)
+{
+  return aResult == http2::Result::Answered && aResponse.mStatus == 200 &&
+         !aResponse.mTruncated;
+}
+
+} // namespace
+
+Instant
+MonotonicNow()
+{
+  return Instant(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+WallTime
+WallNow()
+{
+  return std::chrono::floor<std::chrono::seconds>(
+    std::chrono::system_clock::now());
+}
+
+ControlPlane::ControlPlane(asio::io_context& aContext,
+                           const DaemonSettings& aSettings,
+                           const KeyRing& aKeys,
+                           ControlOwner& aOwner)
+  : mContext(aContext)
+  , mOwner(aOwner)
+  , mCore(OptionsOf(aSettings),
+          OwnRecord(aSettings),
+          InspectorFor(aSettings.mDeployment),
+          std::random_device{}())
+  , mPeers(aContext, aKeys)
+  , mStore(aContext, aSettings.mStore)
+  , mTimer(aContext)
+{
+}
+
+void
+ControlPlane::Start()
+{
+  OnTick();
+}
+
+void
+ControlPlane::OnTick()
+{
+  const Instant now = MonotonicNow();
+  Feed(ClockTick{});
+  if (mNextChange && WallNow() >= *mNextChange) {
+    ApplyConfig();
+  }
+  mPeers.CloseIdle(now - kIdlePeer);
+  LogStoreState();
+  mOwner.OnControlTick(now);
+  mTimer.expires_after(kTick);
+  mTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      OnTick();
+    }
+  });
+}
+
+void
+ControlPlane::Feed(const MembershipEvent& aEvent)
+{
+  for (const auto& effect : mCore.Handle(aEvent, MonotonicNow())) {
+    std::visit([this](const auto& aOne) { Perform(aOne); }, effect);
+  }
+}
+
+ExchangeMessage
+ControlPlane::AnswerExchange(const ExchangeMessage& aMessage)
+{
+  return mCore.AnswerExchange(aMessage, MonotonicNow());
+}
+
+void
+ControlPlane::Perform(const SendProbe& aEffect)
+{
+  mOwner.SendProbePacket(aEffect.mTarget);
+}
+
+void
+ControlPlane::Perform(const SendExchange& aEffect)
+{
+  const Address peer = aEffect.mTo;
+  mPeers.Call(
+    peer,
+    PeerRequest("POST", "/v1/exchange", WriteExchange(aEffect.mMessage)),
+    kMaxExchangeBytes,
+    MonotonicNow(),
+    [this, peer](http2::Result aResult, const http2::Response& aResponse) {
+      ExchangeEnded ended{ peer, std::nullopt };
+      if (Succeeded(aResult, aResponse)) {
+        ended.mAnswer = ParseExchange(aResponse.mBody);
+      }
+      Feed(ended);
+    });
+}
+
+void
+ControlPlane::Perform(const PullDocument& aEffect)
+{
+  const Address peer = aEffect.mFrom;
+  mPeers.Call(
+    peer,
+    PeerRequest("GET", "/v1/document"),
+    kMaxDocumentBytes,
+    MonotonicNow(),
+    [this, peer](http2::Result aResult, const http2::Response& aResponse) {
+      DocumentFetched fetched{ peer, std::nullopt };
+      if (Succeeded(aResult, aResponse)) {
+        fetched.mText = aResponse.mBody;
+      }
+      Feed(fetched);
+    });
+}
+
+void
+ControlPlane::Perform(const StoreRead& aEffect)
+{
+  mStore.Get(aEffect.mKey, [this, key = aEffect.mKey](GetResult aResult) {
+    StoreReadEnded ended{ key, FromClient(aResult.mOutcome), {} };
+    if (aResult.mObject) {
+      ended.mObject = FromClient(std::move(*aResult.mObject));
+    }
+    Feed(ended);
+  });
+}
+
+void
+ControlPlane::Perform(const StoreWrite& aEffect)
+{
+  const auto condition = aEffect.mCondition
+                           ? WriteCondition::IfVersion(*aEffect.mCondition)
+                           : WriteCondition::IfAbsent();
+  const auto lease = aEffect.mLease > Duration::zero()
+                       ? std::optional(aEffect.mLease)
+                       : std::nullopt;
+  mStore.Put(
+    aEffect.mKey,
+    aEffect.mValue,
+    condition,
+    [this, key = aEffect.mKey](const WriteResult& aResult) {
+      Feed(
+        StoreWriteEnded{ key, FromClient(aResult.mOutcome), aResult.mVersion });
+    },
+    lease);
+}
+
+void
+ControlPlane::Perform(const StoreList& aEffect)
+{
+  mStore.List(
+    aEffect.mPrefix, [this, prefix = aEffect.mPrefix](ListResult aResult) {
+      StoreListEnded ended{
+        prefix, FromClient(aResult.mOutcome), true, aResult.mRevision, {}
+      };
+      for (StoredObject& object : aResult.mObjects) {
+        ended.mObjects.push_back(FromClient(std::move(object)));
+      }
+      Feed(ended);
+    });
+}
+
+void
+ControlPlane::Perform(const StoreWatch& aEffect)
+{
+  mStore.Watch(aEffect.mPrefix,
+               aEffect.mSince,
+               kWatchWait,
+               [this, prefix = aEffect.mPrefix](WatchResult aResult) {
+                 StoreListEnded ended{ prefix,
+                                       FromClient(aResult.mOutcome),
+                                       false,
+                                       aResult.mRevision,
+                                       {} };
+                 for (ObjectEvent& event : aResult.mEvents) {
+                   // A removal says nothing that a lapsed lease and lost probes
+                   // don't.
+                   if (event.mValue) {
+                     ended.mObjects.push_back({ std::move(event.mKey),
+                                                event.mVersion,
+                                                std::move(*event.mValue) });
+                   }
+                 }
+                 Feed(ended);
+               });
+}
+
+void
+ControlPlane::Perform(const DocumentAdopted&)
+{
+  mDocument = ParseDocument(Board().mDocument.mText).mValue;
+  LogLine(LogChannel::Document,
+          LogLevel::Info,
+          "document adopted",
+          { { "generation", std::to_string(CurrentGeneration().Value()) } });
+  ApplyConfig();
+}
+
+void
+ControlPlane::ApplyConfig()
+{
+  if (!mDocument) {
+    return;
+  }
+  mConfig = EffectiveAt(*mDocument, WallNow());
+  mNextChange = NextChangeAfter(*mDocument, WallNow());
+  mOwner.OnViewChanged();
+}
+
+void
+ControlPlane::Perform(const ViewChanged&)
+{
+  mOwner.OnViewChanged();
+}
+
+void
+ControlPlane::LogStoreState()
+{
+  const bool reachable = Board().mStore.mReachable;
+  if (reachable == mStoreReachable) {
+    return;
+  }
+  mStoreReachable = reachable;
+  LogLine(LogChannel::Store,
+          reachable ? LogLevel::Info : LogLevel::Warning,
+          reachable ? "store reachable" : "store not reachable");
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Daemon/ControlPlane.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <asio.hpp>
+
+#include <snipepost/Document/Effective.h>
+#include <snipepost/Membership/MembershipCore.h>
+#include <snipepost/Platform/ObjectClient.h>
+
+#include <src/Daemon/DaemonSettings.h>
+#include <src/Daemon/PeerClients.h>
+
+namespace snipepost {
+
+/// The time of this process: monotonic, and of the calendar.
+Instant
+MonotonicNow();
+WallTime
+WallNow();
+
+/// What the control plane asks of the role it serves.
+class ControlOwner
+{
+public:
+  virtual ~ControlOwner() = default;
+
+  /// The configuration in force, the members or the suspects have changed.
+  virtual void OnViewChanged() = 0;
+
+  /// Sends a probe packet to another instance.
+  virtual void SendProbePacket(const Address& aTarget) = 0;
+
+  /// Called every 50 ms, after the core has handled the time.
+  virtual void OnControlTick(Instant aNow) = 0;
+};
+
+/// Carries out the membership core's effects: calls to the store and to peers,
+/// timers, and the configuration that follows from document and time.
+class ControlPlane
+{
+public:
+  ControlPlane(asio::io_context& aContext,
+               const DaemonSettings& aSettings,
+               const KeyRing& aKeys,
+               ControlOwner& aOwner);
+
+  void Start();
+
+  /// Hands an event to the core.
+  void Feed(const MembershipEvent& aEvent);
+
+  ExchangeMessage AnswerExchange(const ExchangeMessage& aMessage);
+  void SetState(InstanceState aState) { mCore.SetState(aState); }
+
+  const Blackboard& Board() const { return mCore.Board(); }
+  Generation CurrentGeneration() const
+  {
+    return Board().mDocument.mVersion.mGeneration;
+  }
+
+  /// The configuration in force now; nothing before the first document.
+  const std::optional<EffectiveConfig>& Config() const { return mConfig; }
+
+  bool Superseded() const { return mCore.Superseded(); }
+  PeerClients& Peers() { return mPeers; }
+
+private:
+  void Perform(const SendProbe& aEffect);
+  void Perform(const SendExchange& aEffect);
+  void Perform(const PullDocument& aEffect);
+  void Perform(const StoreRead& aEffect);
+  void Perform(const StoreWrite& aEffect);
+  void Perform(const StoreList& aEffect);
+  void Perform(const StoreWatch& aEffect);
+  void Perform(const DocumentAdopted& aEffect);
+  void Perform(const ViewChanged& aEffect);
+  void OnTick();
+  void ApplyConfig();
+  void LogStoreState();
+
+  asio::io_context& mContext;
+  ControlOwner& mOwner;
+  MembershipCore mCore;
+  PeerClients mPeers;
+  ObjectClient mStore;
+  asio::steady_timer mTimer;
+  std::optional<Document> mDocument;
+  std::optional<EffectiveConfig> mConfig;
+  std::optional<WallTime> mNextChange;
+  bool mStoreReachable = false;
+};
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Daemon/DaemonSettings.cpp
@@ -0,0 +1,164 @@
+#include <src/Daemon/DaemonSettings.h>
+
+#include <limits>
+
+namespace snipepost {
+
+namespace parse {
+
+// Found by Schema::Add for the settings whose types are enumerations.
+
+static std::string
+Value(const std::string& aText, InstanceRole& aOut)
+{
+  if (aText != "entry" && aText != "agent") {
+    return "expected entry or agent";
+  }
+  aOut = aText == "entry" ? InstanceRole::Entry : InstanceRole::Agent;
+  return {};
+}
+
+static std::string
+Value(const std::string& aText, LogLevel& aOut)
+{
+  return ParseLogLevel(aText, aOut) ? ""
+                                    : "expected debug, info, warning or error";
+}
+
+static std::string
+Value(const std::string& aText, LogFormat& aOut)
+{
+  if (aText != "text" && aText != "json") {
+    return "expected text or json";
+  }
+  aOut = aText == "json" ? LogFormat::Json : LogFormat::Text;
+  return {};
+}
+
+} // namespace parse
+
+namespace {
+
+template<typename Number>
+void
+CheckRange(const char* aName,
+           uint64_t aValue,
+           std::vector<std::string>& aErrors)
+{
+  constexpr uint64_t kMax = std::numeric_limits<Number>::max();
+  if (aValue > kMax) {
+    aErrors.push_back("--" + std::string(aName) + " must be at most " +
+                      std::to_string(kMax));
+  }
+}
+
+} // namespace
+
+KeyRing
+DaemonSettings::Keys() const
+{
+  const auto slot = static_cast<uint8_t>(mKeySlot);
+  KeyRing ring(*mKey, slot);
+  if (mOtherKey) {
+    ring.Install(*mOtherKey, static_cast<uint8_t>(1 - slot));
+  }
+  return ring;
+}
+
+Schema<DaemonSettings>
+DaemonSchema()
+{
+  using S = DaemonSettings;
+  Schema<DaemonSettings> schema;
+  schema.Add("role", &S::mRole, "", "entry or agent")
+    .Add("deployment", &S::mDeployment, "default", "name of the deployment")
+    .Add("listen",
+         &S::mListen,
+         "",
+         "address of this instance: UDP for packets, TCP for control")
+    .Add("store", &S::mStore, "", "address of the platform's object API")
+    .Add("peers",
+         &S::mPeers,
+         "",
+         "entry instances to ask when the store is out, by commas")
+    .Add("fabric",
+         &S::mFabric,
+         "",
+         "addresses from which the fabric delivers callers' datagrams "
+         "(entry)")
+    .Add("domain", &S::mDomain, "0", "number of the failure domain")
+    .Add("region", &S::mRegion, "0", "number of the region")
+    .Add("service", &S::mService, "0", "number of the service (agent)")
+    .Add("backend", &S::mBackend, "", "address of the backend server (agent)")
+    .Add("key", &S::mKey, "", "shared secret, 32 hexadecimal digits")
+    .Secret()
+    .Add("other-key",
+         &S::mOtherKey,
+         "",
+         "secret that only verifies, during a rotation")
+    .Secret()
+    .Add("key-slot", &S::mKeySlot, "0", "slot of --key: 0 or 1")
+    .Add("certificate",
+         &S::mCertificate,
+         "",
+         "PEM file with the certificate chain (agent); empty: self-signed")
+    .Add("private-key", &S::mPrivateKey, "", "PEM file (agent)")
+    .Add("lease-ms",
+         &S::mLease,
+         "90000",
+         "time for which this instance's record stays in the store")
+    .Add("probe-interval-ms",
+         &S::mProbeInterval,
+         "500",
+         "time between two probes of one instance")
+    .Add("exchange-interval-ms",
+         &S::mExchangeInterval,
+         "500",
+         "time between two exchanges with peers")
+    .Add("leave-ms",
+         &S::mLeaveTime,
+         "2000",
+         "time for which a leaving entry instance still relays")
+    .Add("log-level", &S::mLogLevel, "info", "debug, info, warning or error")
+    .Add("log-format", &S::mLogFormat, "text", "text or json");
+  return schema;
+}
+
+void
+CheckTogether(const DaemonSettings& aSettings,
+              std::vector<std::string>& aErrors)
+{
+  const bool agent = aSettings.mRole == InstanceRole::Agent;
+  CheckRange<uint8_t>("domain", aSettings.mDomain, aErrors);
+  CheckRange<uint8_t>("region", aSettings.mRegion, aErrors);
+  CheckRange<uint16_t>("service", aSettings.mService, aErrors);
+  if (!aSettings.mKey) {
+    aErrors.emplace_back("--key is missing");
+  }
+  if (aSettings.mKeySlot > 1) {
+    aErrors.emplace_back("--key-slot must be 0 or 1");
+  }
+  if (agent && aSettings.mService == 0) {
+    aErrors.emplace_back("--service is missing: an agent serves one service");
+  }
+  if (agent && !aSettings.mBackend) {
+    aErrors.emplace_back("--backend is missing: an agent needs one");
+  }
+  if (!agent && aSettings.mFabric.empty()) {
+    aErrors.emplace_back("--fabric is missing: an entry instance needs one");
+  }
+  if (aSettings.mCertificate.empty() != aSettings.mPrivateKey.empty()) {
+    aErrors.emplace_back("--certificate and --private-key go together");
+  }
+  const auto positive = [&](const char* aName,
+                            std::chrono::milliseconds aTime) {
+    if (aTime.count() == 0) {
+      aErrors.push_back("--" + std::string(aName) + " must be above 0");
+    }
+  };
+  positive("lease-ms", aSettings.mLease);
+  positive("probe-interval-ms", aSettings.mProbeInterval);
+  positive("exchange-interval-ms", aSettings.mExchangeInterval);
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Daemon/DaemonSettings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <snipepost/Base/Address.h>
+#include <snipepost/Base/KeyedTag.h>
+#include <snipepost/Membership/Records.h>
+#include <snipepost/Settings/Log.h>
+#include <snipepost/Settings/Schema.h>
+
+namespace snipepost {
+
+/// The settings of snipepostd.
+struct DaemonSettings
+{
+  InstanceRole mRole = InstanceRole::Entry;
+  std::string mDeployment;
+  Address mListen;
+  Address mStore;
+  std::vector<Address> mPeers;
+  std::vector<Address> mFabric;
+  uint64_t mDomain = 0;
+  uint64_t mRegion = 0;
+  uint64_t mService = 0;
+  std::optional<Address> mBackend;
+  std::optional<SecretKey> mKey;
+  std::optional<SecretKey> mOtherKey;
+  uint64_t mKeySlot = 0;
+  std::string mCertificate;
+  std::string mPrivateKey;
+  std::chrono::milliseconds mLease{};
+  std::chrono::milliseconds mProbeInterval{};
+  std::chrono::milliseconds mExchangeInterval{};
+  std::chrono::milliseconds mLeaveTime{};
+  LogLevel mLogLevel = LogLevel::Info;
+  LogFormat mLogFormat = LogFormat::Text;
+
+  /// Ring with the active secret and, during a rotation, the other one. The
+  /// settings must have been validated.
+  KeyRing Keys() const;
+};
+
+/// The table of snipepostd's settings.
+Schema<DaemonSettings>
+DaemonSchema();
+
+/// Appends the faults that no single setting shows, such as an agent without
+/// a backend server.
+void
+CheckTogether(const DaemonSettings& aSettings,
+              std::vector<std::string>& aErrors);
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Daemon/Main.cpp
@@ -0,0 +1,131 @@
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <memory>
+
+#include <asio.hpp>
+#include <sodium.h>
+
+#include <snipepost/Settings/Log.h>
+
+#include <src/Daemon/AgentInstance.h>
+#include <src/Daemon/DaemonSettings.h>
+#include <src/Daemon/EntryInstance.h>
+
+using namespace snipepost;
+
+namespace {
+
+constexpr int kExitFailure = 1;
+constexpr int kExitBadSettings = 2;
+
+std::optional<Credentials>
+LoadCredentials(const DaemonSettings& aSettings)
+{
+  if (!aSettings.mCertificate.empty()) {
+    return Credentials::LoadPem(aSettings.mCertificate, aSettings.mPrivateKey);
+  }
+  LogLine(LogChannel::Transport,
+          LogLevel::Warning,
+          "no certificate set: using a self-signed one");
+  return Credentials::MakeSelfSigned("localhost");
+}
+
+/// Stops gracefully on the first SIGTERM or SIGINT, at once on the second.
+void
+WatchSignals(asio::signal_set& aSignals,
+             asio::io_context& aContext,
+             std::function<void()> aShutdown)
+{
+  aSignals.async_wait(
+    [&aSignals, &aContext, aShutdown](const asio::error_code& aError, int) {
+      if (aError) {
+        return;
+      }
+      if (!aShutdown) {
+        aContext.stop();
+        return;
+      }
+      aShutdown();
+      WatchSignals(aSignals, aContext, nullptr);
+    });
+}
+
+template<typename Instance>
+int
+RunUntilExit(asio::io_context& aContext, Instance& aInstance)
+{
+  asio::signal_set signals(aContext, SIGTERM, SIGINT);
+  WatchSignals(signals, aContext, [&aInstance] { aInstance.BeginShutdown(); });
+  aContext.run();
+  LogLine(LogChannel::Daemon, LogLevel::Info, "stopped");
+  return 0;
+}
+
+int
+Run(const DaemonSettings& aSettings)
+{
+  asio::io_context context(1);
+  const auto onExit = [&context] { context.stop(); };
+  const auto announce = [&] {
+    LogLine(LogChannel::Daemon,
+            LogLevel::Info,
+            "started",
+            { { "listen", ToString(aSettings.mListen) } });
+    std::cout << "ready " << ToString(aSettings.mListen) << std::endl;
+  };
+  if (aSettings.mRole == InstanceRole::Entry) {
+    EntryInstance entry(context, aSettings, onExit);
+    announce();
+    return RunUntilExit(context, entry);
+  }
+  const auto credentials = LoadCredentials(aSettings);
+  if (!credentials) {
+    LogLine(LogChannel::Transport,
+            LogLevel::Error,
+            "certificate or private key can't be used");
+    return kExitFailure;
+  }
+  AgentInstance agent(context, aSettings, *credentials, onExit);
+  announce();
+  return RunUntilExit(context, agent);
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  const auto schema = DaemonSchema();
+  DaemonSettings settings;
+  auto report =
+    schema.Load({ argv + 1, argv + argc }, ProcessEnvironment(), settings);
+  if (report.mRequest == SettingsRequest::Help) {
+    std::cout << HelpText("snipepostd", schema.Specs());
+    return 0;
+  }
+  if (report.mErrors.empty()) {
+    CheckTogether(settings, report.mErrors);
+  }
+  if (report.mRequest == SettingsRequest::Check) {
+    std::cout << CheckText(report);
+    return report.mErrors.empty() ? 0 : kExitBadSettings;
+  }
+  if (!report.mErrors.empty()) {
+    for (const std::string& error : report.mErrors) {
+      std::cerr << "snipepostd: " << error << '\n';
+    }
+    return kExitBadSettings;
+  }
+  if (sodium_init() < 0) {
+    std::cerr << "snipepostd: libsodium can't be initialized\n";
+    return kExitFailure;
+  }
+  StartLog(settings.mLogFormat, settings.mLogLevel);
+  try {
+    return Run(settings);
+  } catch (const std::system_error& error) {
+    LogLine(LogChannel::Daemon, LogLevel::Error, error.what());
+    return kExitFailure;
+  }
+}
--- /dev/null
+++ b/src/Daemon/RequestPipeline.cpp
@@ -0,0 +1,380 @@
+#include <src/Daemon/RequestPipeline.h>
+
+#include <algorithm>
+
+#include <src/Daemon/ControlPlane.h>
+
+namespace snipepost {
+
+namespace {
+
+/// Longest response that is kept for duplicates of its request; a longer one
+/// is delivered once and its duplicates get "outcome unknown".
+constexpr size_t kMaxStoredBody = 16384;
+constexpr size_t kMaxRelayedBody = 1U << 20U;
+
+std::span<const uint8_t>
+AsBytes(std::string_view aText)
+{
+  return { reinterpret_cast<const uint8_t*>(aText.data()), aText.size() };
+}
+
+std::string
+RemainingMs(Instant aDeadline, Instant aNow)
+{
+  const auto left =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDeadline - aNow);
+  return std::to_string(std::max<int64_t>(left.count(), 1));
+}
+
+http2::Request
+ToRequest(const CallerRequest& aRequest, Instant aDeadline)
+{
+  const Instant now = MonotonicNow();
+  http2::Request request;
+  request.mMethod = aRequest.mMethod;
+  request.mPath = aRequest.mPath;
+  request.mHeaders = aRequest.mHeaders;
+  request.mHeaders.emplace_back("deadline-ms", RemainingMs(aDeadline, now));
+  request.mBody = aRequest.mBody;
+  request.mTimeout =
+    std::max<Duration>(aDeadline - now, std::chrono::milliseconds(1));
+  return request;
+}
+
+BackendOutcome
+OutcomeOf(http2::Result aResult, int aStatus)
+{
+  switch (aResult) {
+    case http2::Result::Answered:
+      return aStatus == 503 ? BackendOutcome::Shed : BackendOutcome::Answered;
+    case http2::Result::Refused:
+    case http2::Result::NotSent:
+      return BackendOutcome::Refused;
+    case http2::Result::TimedOut:
+      return BackendOutcome::TimedOut;
+    case http2::Result::Broken:
+    case http2::Result::Cancelled:
+      return BackendOutcome::Broken;
+  }
+  return BackendOutcome::Broken;
+}
+
+} // namespace
+
+RequestPipeline::Counters::Counters(Registry& aRegistry)
+  : mPassedOn(aRegistry.AddCounter("snipepost_passed_on_requests_total",
+                                   "Requests sent to the backend server."))
+  , mAnswered(aRegistry.AddCounter("snipepost_answered_requests_total",
+                                   "Requests answered by the backend server."))
+  , mNotRun(aRegistry.AddCounter("snipepost_not_run_requests_total",
+                                 "Requests rejected before they ran."))
+  , mUnknown(aRegistry.AddCounter("snipepost_unknown_requests_total",
+                                  "Requests whose outcome is unknown."))
+  , mStored(aRegistry.AddCounter("snipepost_stored_answers_total",
+                                 "Duplicates answered from the table."))
+  , mRelayed(aRegistry.AddCounter("snipepost_relayed_requests_total",
+                                  "Requests relayed to another agent."))
+  , mLatency(aRegistry.AddLatency("snipepost_request_seconds",
+                                  "Time from arrival to complete answer."))
+{
+}
+
+RequestPipeline::RequestPipeline(asio::io_context& aContext,
+                                 const Address& aBackend,
+                                 PeerClients& aPeers,
+                                 Registry& aRegistry,
+                                 Feed aFeed)
+  : mBackend(aContext, aBackend)
+  , mPeers(aPeers)
+  , mFeed(std::move(aFeed))
+  , mCounters(aRegistry)
+{
+}
+
+RequestId
+RequestPipeline::Add(CallerRequest aRequest,
+                     std::unique_ptr<ResponseSink> aSink)
+{
+  const RequestId id(mNextId++);
+  Active& active = mActive[id];
+  active.mRequest = std::move(aRequest);
+  active.mSink = std::move(aSink);
+  active.mArrived = MonotonicNow();
+  return id;
+}
+
+void
+RequestPipeline::Perform(const PassOn& aEffect)
+{
+  const RequestId id = aEffect.mRequest;
+  const auto found = mActive.find(id);
+  if (found == mActive.end()) {
+    return;
+  }
+  Active& active = found->second;
+  active.mCalling = true;
+  active.mResponse = {};
+  mCounters.mPassedOn.Add();
+  http2::ResponseCallbacks callbacks;
+  callbacks.mOnHeaders = [this, id](int aStatus, http2::Headers aHeaders) {
+    OnHeaders(id, aStatus, std::move(aHeaders));
+  };
+  callbacks.mOnData = [this, id](http2::Chunk aChunk) { OnData(id, aChunk); };
+  callbacks.mOnEnd = [this, id](http2::Result aResult) { OnEnd(id, aResult); };
+  active.mCall = mBackend.Send(ToRequest(active.mRequest, aEffect.mDeadline),
+                               std::move(callbacks));
+}
+
+void
+RequestPipeline::OnHeaders(RequestId aRequest,
+                           int aStatus,
+                           http2::Headers aHeaders)
+{
+  Active& active = mActive.at(aRequest);
+  active.mResponse.mStatus = aStatus;
+  active.mResponse.mHeaders = std::move(aHeaders);
+  if (active.mSink) {
+    active.mSink->Start(aStatus, active.mResponse.mHeaders);
+    active.mStarted = true;
+  }
+}
+
+void
+RequestPipeline::OnData(RequestId aRequest, http2::Chunk aChunk)
+{
+  Active& active = mActive.at(aRequest);
+  if (!active.mRequest.mIdempotent &&
+      active.mResponse.mBody.size() <= kMaxStoredBody) {
+    active.mResponse.mBody += http2::AsText(aChunk);
+  }
+  if (!active.mSink) {
+    mBackend.Consume(*active.mCall, aChunk.size());
+    return;
+  }
+  active.mPending += http2::AsText(aChunk);
+  WritePending(active);
+}
+
+void
+RequestPipeline::WritePending(Active& aActive)
+{
+  if (!aActive.mSink) {
+    return;
+  }
+  const size_t taken = aActive.mSink->Write(AsBytes(aActive.mPending));
+  aActive.mPending.erase(0, taken);
+  if (taken > 0 && aActive.mCalling && aActive.mCall) {
+    mBackend.Consume(*aActive.mCall, taken);
+  }
+  if (aActive.mComplete && aActive.mPending.empty()) {
+    aActive.mSink->End();
+    aActive.mSink.reset();
+  }
+}
+
+void
+RequestPipeline::OnEnd(RequestId aRequest, http2::Result aResult)
+{
+  Active& active = mActive.at(aRequest);
+  active.mCalling = false;
+  active.mCall.reset();
+  BackendResult result;
+  result.mRequest = aRequest;
+  result.mOutcome = OutcomeOf(aResult, active.mResponse.mStatus);
+  result.mResponseStarted = active.mStarted;
+  if (aResult == http2::Result::Answered) {
+    mCounters.mAnswered.Add();
+    mCounters.mLatency.Record(MonotonicNow() - active.mArrived);
+    if (!active.mRequest.mIdempotent &&
+        active.mResponse.mBody.size() <= kMaxStoredBody) {
+      result.mResponse =
+        std::make_shared<const std::string>(PackResponse(active.mResponse));
+    }
+    active.mComplete = true;
+    WritePending(active);
+  }
+  mFeed(result);
+  EraseWhenDone(aRequest);
+}
+
+void
+RequestPipeline::Perform(const Reject& aEffect)
+{
+  const auto found = mActive.find(aEffect.mRequest);
+  if (found == mActive.end()) {
+    return;
+  }
+  Active& active = found->second;
+  mCounters.mNotRun.Add();
+  if (active.mSink) {
+    active.mSink->Reject();
+    active.mSink.reset();
+  }
+  EraseWhenDone(aEffect.mRequest);
+}
+
+void
+RequestPipeline::Perform(const AnswerUnknown& aEffect)
+{
+  const auto found = mActive.find(aEffect.mRequest);
+  if (found == mActive.end()) {
+    return;
+  }
+  Active& active = found->second;
+  mCounters.mUnknown.Add();
+  SendUnknown(active);
+  EraseWhenDone(aEffect.mRequest);
+}
+
+void
+RequestPipeline::SendUnknown(Active& aActive)
+{
+  if (!aActive.mSink) {
+    return;
+  }
+  if (aActive.mStarted) {
+    aActive.mSink->Abort();
+  } else {
+    aActive.mSink->Start(502,
+                         { { "proxy-status",
+                             "snipepost; error=connection_terminated; "
+                             "details=\"outcome unknown\"" } });
+    aActive.mSink->End();
+  }
+  aActive.mSink.reset();
+}
+
+void
+RequestPipeline::Perform(const AnswerStored& aEffect)
+{
+  const auto found = mActive.find(aEffect.mRequest);
+  if (found == mActive.end()) {
+    return;
+  }
+  Active& active = found->second;
+  const auto response =
+    aEffect.mResponse ? UnpackResponse(*aEffect.mResponse) : std::nullopt;
+  mCounters.mStored.Add();
+  if (response) {
+    SendComplete(active, *response);
+  } else {
+    SendUnknown(active);
+  }
+  EraseWhenDone(aEffect.mRequest);
+}
+
+void
+RequestPipeline::SendComplete(Active& aActive,
+                              const CompleteResponse& aResponse)
+{
+  if (!aActive.mSink) {
+    return;
+  }
+  aActive.mSink->Start(aResponse.mStatus, aResponse.mHeaders);
+  aActive.mStarted = true;
+  aActive.mPending = aResponse.mBody;
+  aActive.mComplete = true;
+  WritePending(aActive);
+}
+
+void
+RequestPipeline::Perform(const Relay& aEffect)
+{
+  const RequestId id = aEffect.mRequest;
+  const auto found = mActive.find(id);
+  if (found == mActive.end()) {
+    return;
+  }
+  Active& active = found->second;
+  active.mCalling = true;
+  mCounters.mRelayed.Add();
+  http2::Request request =
+    ToRequest(active.mRequest, active.mRequest.mDeadline);
+  request.mHeaders.emplace_back("snipepost-method", request.mMethod);
+  request.mHeaders.emplace_back("snipepost-path", request.mPath);
+  request.mMethod = "POST";
+  request.mPath = "/v1/relay";
+  mPeers.Call(
+    aEffect.mAgent,
+    std::move(request),
+    kMaxRelayedBody,
+    MonotonicNow(),
+    [this, id](http2::Result aResult, const http2::Response& aResponse) {
+      OnRelayEnd(id, aResult, aResponse);
+    });
+}
+
+void
+RequestPipeline::OnRelayEnd(RequestId aRequest,
+                            http2::Result aResult,
+                            const http2::Response& aResponse)
+{
+  Active& active = mActive.at(aRequest);
+  active.mCalling = false;
+  const bool answered =
+    aResult == http2::Result::Answered && !aResponse.mTruncated;
+  const bool notRun =
+    answered && aResponse.mStatus == kRelayNotRunStatus &&
+    http2::FindHeader(aResponse.mHeaders, kRelayOutcomeHeader) == kRelayNotRun;
+  if (notRun && active.mSink) {
+    mCounters.mNotRun.Add();
+    active.mSink->Reject();
+    active.mSink.reset();
+  } else if (answered && aResponse.mStatus != 403 && aResponse.mStatus != 404) {
+    SendComplete(active,
+                 { aResponse.mStatus, aResponse.mHeaders, aResponse.mBody });
+  } else {
+    mCounters.mUnknown.Add();
+    SendUnknown(active);
+  }
+  mFeed(RelayFinished{ aRequest });
+  EraseWhenDone(aRequest);
+}
+
+void
+RequestPipeline::Perform(const Cancel& aEffect)
+{
+  const auto found = mActive.find(aEffect.mRequest);
+  if (found != mActive.end() && found->second.mCall) {
+    mBackend.Cancel(*found->second.mCall);
+  }
+}
+
+void
+RequestPipeline::Drained(RequestId aRequest)
+{
+  const auto found = mActive.find(aRequest);
+  if (found != mActive.end()) {
+    WritePending(found->second);
+    EraseWhenDone(aRequest);
+  }
+}
+
+void
+RequestPipeline::Forget(RequestId aRequest)
+{
+  const auto found = mActive.find(aRequest);
+  if (found == mActive.end()) {
+    return;
+  }
+  Active& active = found->second;
+  active.mSink.reset();
+  if (active.mCall && !active.mPending.empty()) {
+    mBackend.Consume(*active.mCall, active.mPending.size());
+  }
+  active.mPending.clear();
+  EraseWhenDone(aRequest);
+}
+
+void
+RequestPipeline::EraseWhenDone(RequestId aRequest)
+{
+  const auto found = mActive.find(aRequest);
+  if (found != mActive.end() && !found->second.mSink &&
+      !found->second.mCalling) {
+    mActive.erase(found);
+  }
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Daemon/SnapshotBuilder.cpp
@@ -0,0 +1,72 @@
+#include <src/Daemon/SnapshotBuilder.h>
+
+#include <map>
+
+namespace snipepost {
+
+namespace {
+
+struct Candidates
+{
+  std::vector<Backend> mTrusted;
+  std::vector<Backend> mSuspected;
+};
+
+bool
+TakesNewFlows(const EffectiveConfig& aConfig, const InstanceRecord& aRecord)
+{
+  return aRecord.mRole == InstanceRole::Agent &&
+         aRecord.mState == InstanceState::Ready &&
+         aConfig.IsIn(aRecord.mDomain) &&
+         aConfig.Standing({ aRecord.mService, aRecord.mAddress }) ==
+           BackendStanding::Admitted;
+}
+
+std::vector<Backend>
+Eligible(Candidates&& aCandidates)
+{
+  if (aCandidates.mSuspected.size() > aCandidates.mTrusted.size()) {
+    auto& all = aCandidates.mTrusted;
+    all.insert(
+      all.end(), aCandidates.mSuspected.begin(), aCandidates.mSuspected.end());
+  }
+  return std::move(aCandidates.mTrusted);
+}
+
+} // namespace
+
+std::shared_ptr<const RoutingSnapshot>
+BuildSnapshot(const EffectiveConfig& aConfig,
+              const Blackboard& aBoard,
+              const RoutingSnapshot* aPrevious)
+{
+  std::map<ServiceId, Candidates> candidates;
+  for (const auto& [address, member] : aBoard.mMembers) {
+    const InstanceRecord& record = member.mRecord;
+    if (!TakesNewFlows(aConfig, record)) {
+      continue;
+    }
+    auto& service = candidates[record.mService];
+    auto& list = aBoard.mSuspects.contains(address) ? service.mSuspected
+                                                    : service.mTrusted;
+    const auto incarnation =
+      static_cast<uint16_t>(record.mVersion.mIncarnation.Value());
+    list.push_back({ address,
+                     record.mDomain,
+                     std::max<uint16_t>(record.mSlots, 1),
+                     incarnation });
+  }
+  std::vector<ServiceView> services;
+  for (const auto& [id, service] : aConfig.mServices) {
+    services.push_back(
+      { id, service.mAddress, Eligible(std::move(candidates[id])) });
+  }
+  DomainSet out;
+  for (const auto& [id, domain] : aConfig.mDomains) {
+    out[id.Value()] = domain.mState == DomainState::Out;
+  }
+  return RoutingSnapshot::Build(
+    aConfig.mGeneration, std::move(services), out, aPrevious);
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Daemon/StoredResponse.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <snipepost/Http2/Message.h>
+
+namespace snipepost {
+
+/// A complete response of a backend server.
+struct CompleteResponse
+{
+  int mStatus = 0;
+  http2::Headers mHeaders;
+  std::string mBody;
+};
+
+/// Packs a response into the opaque bytes that the idempotency table keeps.
+std::string
+PackResponse(const CompleteResponse& aResponse);
+
+/// Unpacks what PackResponse wrote; nothing for any other bytes.
+std::optional<CompleteResponse>
+UnpackResponse(std::string_view aBytes);
+
+} // namespace snipepost
