Routing: fill the decision in place

Cause: a decision by issued ID took 70 ns, of which 35 ns went to checking the tag and finding the service; the rest was copies of RouteDecision through return values. Ruled out: the service lookup (4 ns) and the hash. Change: Decide() fills the caller's decision, DecodeRouteId() builds its result in place.

--- a/include/snipepost/Routing/EntryRouter.h
+++ b/include/snipepost/Routing/EntryRouter.h
@@ -29,12 +29,14 @@
 constexpr size_t kDropReasonCount = 7;
 
 /// Result of a routing decision. The datagram is forwarded to the first
-/// candidate with the others in its header, or dropped when mDrop is set.
+/// candidate with the others in its header, or dropped when mDrop is set; the
+/// list is then empty.
 struct RouteDecision
 {
   DropReason mDrop = DropReason::None;
   /// True when an issued ID named the agent, so there is one candidate.
   bool mByIssuedId = false;
+  /// Service at the destination address; 0 when there is none.
   ServiceId mService;
   CandidateList mCandidates;
 
@@ -80,10 +82,12 @@
   }
 
 private:
-  RouteDecision Decide(const RoutingSnapshot& aSnapshot,
-                       const Address& aService,
-                       const Address& aCaller,
-                       std::span<const uint8_t> aDatagram) const;
+  /// Fills aDecision but for mDrop, which it returns.
+  DropReason Decide(const RoutingSnapshot& aSnapshot,
+                    const Address& aService,
+                    const Address& aCaller,
+                    std::span<const uint8_t> aDatagram,
+                    RouteDecision& aDecision) const;
 
   KeyRing mKeys;
   std::array<uint64_t, kDropReasonCount> mCounts{};
--- a/src/Routing/EntryRouter.cpp
+++ b/src/Routing/EntryRouter.cpp
@@ -19,14 +19,6 @@
 // Candidates taken from each of the two tables.
 constexpr size_t kPerTable = 2;
 
-RouteDecision
-Drop(DropReason aReason)
-{
-  RouteDecision decision;
-  decision.mDrop = aReason;
-  return decision;
-}
-
 void
 AddCandidates(const RoutingSnapshot& aSnapshot,
               const BackendPool& aPool,
@@ -43,37 +35,37 @@
   }
 }
 
-RouteDecision
+// Fills the decision in place: copying it costs about as much as checking the
+// tag.
+DropReason
 RouteByTable(const RoutingSnapshot& aSnapshot,
              const ServiceRoutes& aService,
-             FlowKey aKey)
+             FlowKey aKey,
+             RouteDecision& aDecision)
 {
-  RouteDecision decision;
-  decision.mService = aService.mId;
-  AddCandidates(aSnapshot, *aService.mCurrent, aKey, decision.mCandidates);
+  AddCandidates(aSnapshot, *aService.mCurrent, aKey, aDecision.mCandidates);
   if (aService.mPrevious) {
-    AddCandidates(aSnapshot, *aService.mPrevious, aKey, decision.mCandidates);
+    AddCandidates(aSnapshot, *aService.mPrevious, aKey, aDecision.mCandidates);
   }
-  return decision.mCandidates.IsEmpty() ? Drop(DropReason::NoBackend)
-                                        : decision;
+  return aDecision.mCandidates.IsEmpty() ? DropReason::NoBackend
+                                         : DropReason::None;
 }
 
-RouteDecision
+DropReason
 RouteById(const RoutingSnapshot& aSnapshot,
           const ServiceRoutes& aService,
-          const RouteId& aRoute)
+          const RouteId& aRoute,
+          RouteDecision& aDecision)
 {
   if (aRoute.mService != aService.mId) {
-    return Drop(DropReason::WrongService);
+    return DropReason::WrongService;
   }
   if (aSnapshot.IsOut(aRoute.mDomain)) {
-    return Drop(DropReason::DomainOut);
+    return DropReason::DomainOut;
   }
-  RouteDecision decision;
-  decision.mService = aService.mId;
-  decision.mByIssuedId = true;
-  decision.mCandidates.Add(aRoute.mAgent);
-  return decision;
+  aDecision.mByIssuedId = true;
+  aDecision.mCandidates.Add(aRoute.mAgent);
+  return DropReason::None;
 }
 
 } // namespace
@@ -98,44 +90,46 @@
                    const Address& aCaller,
                    std::span<const uint8_t> aDatagram)
 {
-  const RouteDecision decision =
-    Decide(aSnapshot, aService, aCaller, aDatagram);
+  RouteDecision decision;
+  decision.mDrop = Decide(aSnapshot, aService, aCaller, aDatagram, decision);
   ++mCounts[static_cast<size_t>(decision.mDrop)];
   return decision;
 }
 
-RouteDecision
+DropReason
 EntryRouter::Decide(const RoutingSnapshot& aSnapshot,
                     const Address& aService,
                     const Address& aCaller,
-                    std::span<const uint8_t> aDatagram) const
+                    std::span<const uint8_t> aDatagram,
+                    RouteDecision& aDecision) const
 {
   const ServiceRoutes* service = aSnapshot.Find(aService);
   if (!service) {
-    return Drop(DropReason::UnknownService);
+    return DropReason::UnknownService;
   }
+  aDecision.mService = service->mId;
   if (aDatagram.empty()) {
-    return Drop(DropReason::Malformed);
+    return DropReason::Malformed;
   }
   const auto packet = ParseQuicInvariants(aDatagram);
   if (packet) {
     if (const auto route = DecodeRouteId(packet->mDestinationId, mKeys)) {
-      return RouteById(aSnapshot, *service, *route);
+      return RouteById(aSnapshot, *service, *route, aDecision);
     }
   }
   if (aDatagram[0] < kFirstQuicByte) {
     const FlowKey key = FlowKeyOfCaller(aCaller, service->mId);
-    return RouteByTable(aSnapshot, *service, key);
+    return RouteByTable(aSnapshot, *service, key, aDecision);
   }
   if (!packet) {
-    return Drop(DropReason::Malformed);
+    return DropReason::Malformed;
   }
   // Only the first flight may carry an ID that no agent issued.
   if (packet->mKind != QuicPacketKind::First) {
-    return Drop(DropReason::ForgedId);
+    return DropReason::ForgedId;
   }
   const FlowKey key = FlowKeyOfConnectionId(packet->mDestinationId);
-  return RouteByTable(aSnapshot, *service, key);
+  return RouteByTable(aSnapshot, *service, key, aDecision);
 }
 
 } // namespace snipepost
--- a/src/Routing/RouteId.cpp
+++ b/src/Routing/RouteId.cpp
@@ -54,14 +54,14 @@
     return std::nullopt;
   }
   ByteReader reader(aBytes.subspan(1));
-  RouteId route;
-  route.mService = ServiceId(reader.U16());
-  route.mDomain = DomainId(reader.U8());
-  route.mAgent.mIp = reader.U32();
-  route.mAgent.mPort = reader.U16();
-  route.mIncarnation = reader.U16();
+  std::optional<RouteId> route(std::in_place);
+  route->mService = ServiceId(reader.U16());
+  route->mDomain = DomainId(reader.U8());
+  route->mAgent.mIp = reader.U32();
+  route->mAgent.mPort = reader.U16();
+  route->mIncarnation = reader.U16();
   const uint32_t high = reader.U8();
-  route.mNonce = (high << 16) | reader.U16();
+  route->mNonce = (high << 16) | reader.U16();
   return route;
 }
 
