Ctl: commands of snipepostctl

Edits, show, validate, diff, submit, status, audit and restore over an Environment of functions, so that tests run whole command lines against a store in memory.

--- /dev/null
+++ b/src/Ctl/History.cpp
@@ -0,0 +1,162 @@
+#include "src/Ctl/Session.h"
+
+#include <algorithm>
+
+#include <snipepost/Document/Order.h>
+#include <snipepost/Document/Time.h>
+
+namespace snipepost {
+
+namespace {
+
+std::string
+Describe(const Document& aDocument)
+{
+  return "generation " + std::to_string(aDocument.mGeneration.Value()) + " (" +
+         aDocument.mSubmission.Value() + ")";
+}
+
+/// State of an instance compared with the highest document.
+std::string
+StateOf(const InstanceView& aInstance, const std::optional<Document>& aHighest)
+{
+  if (!aInstance.mReached) {
+    return "no answer";
+  }
+  if (!aInstance.mDocument) {
+    return "no document";
+  }
+  const bool current =
+    aHighest && OrderOf(*aInstance.mDocument) == OrderOf(*aHighest);
+  return Describe(*aInstance.mDocument) + (current ? "" : ", behind");
+}
+
+std::string
+EntryText(const AuditEntry& aEntry)
+{
+  std::string text = "generation " + std::to_string(aEntry.mTo.Value()) +
+                     " from " + std::to_string(aEntry.mChange.mFrom.Value()) +
+                     " by " + aEntry.mChange.mBy + " at " +
+                     ToString(aEntry.mChange.mAt) + " (" +
+                     aEntry.mSubmission.Value() + ")";
+  for (const auto& change : aEntry.mChange.mChanges) {
+    text += "\n  " + change;
+  }
+  return text;
+}
+
+} // namespace
+
+Report
+Session::Status()
+{
+  const auto view = mDeployment->View();
+  if (!mOptions.mSubmission.empty()) {
+    return StatusOfSubmission(view);
+  }
+  const auto highest = view.Highest();
+  std::string store = "no answer";
+  if (!view.mFault.empty()) {
+    store = view.mFault;
+  } else if (view.mStored) {
+    store = Describe(*view.mStored);
+    store += IsNewer(*highest, *view.mStored)
+               ? ", older than what instances hold; run restore"
+               : "";
+  } else if (view.mOutcome == StoreOutcome::Absent) {
+    store = highest ? "empty; run restore" : "no document";
+  }
+  std::vector<std::string> lines{ "store: " + store };
+  bool same = view.mStored && OrderOf(*view.mStored) == OrderOf(*highest);
+  for (const auto& instance : view.mInstances) {
+    lines.push_back(ToString(instance.mControl) + ": " +
+                    StateOf(instance, highest));
+    const bool behind =
+      instance.mReached && (!instance.mDocument || !highest ||
+                            OrderOf(*instance.mDocument) != OrderOf(*highest));
+    same = same && !behind;
+  }
+  if (!view.mStored && !view.AnyInstance()) {
+    const bool absent = view.mOutcome == StoreOutcome::Absent;
+    return LinesReport(
+      absent ? ExitCode::Absent : ExitCode::Refused, "status", lines);
+  }
+  return LinesReport(
+    same ? ExitCode::Ok : ExitCode::Different, "status", lines);
+}
+
+Report
+Session::StatusOfSubmission(const DeploymentView& aView)
+{
+  std::vector<Document> documents;
+  if (aView.mStored) {
+    documents.push_back(*aView.mStored);
+  }
+  for (const auto& instance : aView.mInstances) {
+    if (instance.mDocument) {
+      documents.push_back(*instance.mDocument);
+    }
+  }
+  const SubmissionId wanted(mOptions.mSubmission);
+  for (const auto& document : documents) {
+    if (document.mSubmission == wanted) {
+      return PlainReport(ExitCode::Ok, "accepted: " + Describe(document));
+    }
+  }
+  const auto entries = AuditEntries();
+  if (!entries || aView.mOutcome == StoreOutcome::Refused ||
+      aView.mOutcome == StoreOutcome::Unknown || !aView.mFault.empty()) {
+    return PlainReport(ExitCode::Unknown,
+                       "unknown: the store can't be read; repeat this later");
+  }
+  for (const auto& entry : *entries) {
+    if (entry.mSubmission == wanted) {
+      return PlainReport(ExitCode::Ok,
+                         "accepted and replaced since: generation " +
+                           std::to_string(entry.mTo.Value()));
+    }
+  }
+  return PlainReport(ExitCode::Absent,
+                     "not accepted: neither the store nor an instance knows " +
+                       mOptions.mSubmission);
+}
+
+std::optional<std::vector<AuditEntry>>
+Session::AuditEntries()
+{
+  const auto answer = mDeployment->List(AuditPrefix(mOptions.mDeployment));
+  if (answer.mOutcome != StoreOutcome::Done) {
+    return std::nullopt;
+  }
+  std::vector<AuditEntry> entries;
+  for (const auto& object : answer.mObjects) {
+    auto parsed = ParseAuditEntry(object.mValue);
+    if (parsed.mValue) {
+      entries.push_back(*std::move(parsed.mValue));
+    }
+  }
+  return entries;
+}
+
+Report
+Session::Audit()
+{
+  auto entries = AuditEntries();
+  if (!entries) {
+    return PlainReport(ExitCode::Refused, "the audit entries can't be read");
+  }
+  if (const auto highest = mDeployment->View().Highest()) {
+    const AuditEntry current = AuditEntryOf(*highest);
+    if (std::ranges::count(*entries, current) == 0) {
+      entries->push_back(current);
+    }
+  }
+  std::ranges::sort(*entries, {}, &AuditEntry::mTo);
+  std::vector<std::string> lines;
+  for (const auto& entry : *entries) {
+    lines.push_back(EntryText(entry));
+  }
+  return LinesReport(ExitCode::Ok, "entries", lines);
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Ctl/Program.cpp
@@ -0,0 +1,40 @@
+#include <snipepost/Ctl/Program.h>
+
+#include <ostream>
+
+#include <boost/json/serialize.hpp>
+
+#include "src/Ctl/Options.h"
+#include "src/Ctl/Report.h"
+#include "src/Ctl/Session.h"
+
+namespace snipepost {
+
+ExitCode
+RunProgram(const std::vector<std::string>& aArguments,
+           Environment& aEnvironment)
+{
+  auto parsed = ParseOptions(aArguments, aEnvironment.mVariables);
+  if (const auto* error = std::get_if<std::string>(&parsed)) {
+    aEnvironment.mErr << *error << "\n";
+    return ExitCode::Usage;
+  }
+  auto& options = std::get<Options>(parsed);
+  if (options.mHelp) {
+    aEnvironment.mOut << HelpText();
+    return ExitCode::Ok;
+  }
+  const bool asJson = options.mJson;
+  Report report = Session(std::move(options), aEnvironment).Run();
+  if (asJson) {
+    report.mJson["outcome"] = OutcomeName(report.mCode);
+    aEnvironment.mOut << boost::json::serialize(report.mJson) << "\n";
+  } else {
+    const bool good =
+      report.mCode == ExitCode::Ok || report.mCode == ExitCode::Different;
+    (good ? aEnvironment.mOut : aEnvironment.mErr) << report.mText;
+  }
+  return report.mCode;
+}
+
+} // namespace snipepost
