--- a/src/Ctl/Session.cpp
+++ b/src/Ctl/Session.cpp
@@ -149,7 +149,7 @@
   // A document is built in several edits, so errors are only shown here;
   // submit refuses them.
   Report report = LinesReport(ExitCode::Ok, "changes", changes);
-  const Report errors = ErrorReport(Check(after, false));
+  const Report errors = ErrorReport(Check(after, std::nullopt));
   report.mJson["errors"] = errors.mJson.at("errors");
   if (errors.mCode != ExitCode::Ok) {
     report.mText += "not valid yet:\n" + errors.mText;
@@ -244,9 +244,9 @@
   plan.mBase = OrderOf(aEdited);
   plan.mHeld = aView.Held();
   plan.mDocument = NextGeneration(std::move(aEdited), aView);
-  const auto errors = Check(plan.mDocument, true);
-  if (!errors.empty()) {
-    return ErrorReport(errors);
+  Report checked = CheckAnnounced(plan.mDocument);
+  if (checked.mCode != ExitCode::Ok) {
+    return checked;
   }
   Report report = RunPlan(plan);
   if (report.mCode == ExitCode::Ok && !mOptions.mFile.empty()) {
@@ -267,23 +267,32 @@
   return SubmissionReport(result, aPlan.mDocument);
 }
 
+Report
+Session::CheckAnnounced(const Document& aDocument)
+{
+  if (!mDeployment) {
+    return ErrorReport(Check(aDocument, std::nullopt));
+  }
+  auto endpoints = mDeployment->Endpoints(aDocument);
+  if (!endpoints) {
+    return PlainReport(ExitCode::Refused,
+                       "nothing was written; the announced endpoints can't be "
+                       "read");
+  }
+  return ErrorReport(Check(aDocument, std::move(endpoints)));
+}
+
 std::vector<DocumentError>
-Session::Check(const Document& aDocument, bool aWithEndpoints)
+Session::Check(const Document& aDocument,
+               std::optional<std::vector<AnnouncedEndpoint>> aEndpoints)
 {
   ValidationContext context;
   context.mNow = mEnvironment.mNow();
   context.mHorizon =
     mOptions.mHorizon.value_or(NextWorkingMorning(context.mNow));
-  std::vector<DocumentError> errors;
-  if (aWithEndpoints && mDeployment) {
-    context.mEndpoints = mDeployment->Endpoints(aDocument);
-    if (!context.mEndpoints) {
-      errors.push_back({ "", "the announced endpoints can't be read" });
-    }
-  }
+  context.mEndpoints = std::move(aEndpoints);
   // The limits of the codec hold for edited documents, too.
-  const auto parsed = ParseDocument(WriteDocument(aDocument));
-  errors.insert(errors.end(), parsed.mErrors.begin(), parsed.mErrors.end());
+  auto errors = ParseDocument(WriteDocument(aDocument)).mErrors;
   const auto found = Validate(aDocument, context);
   errors.insert(errors.end(), found.begin(), found.end());
   return errors;
@@ -309,7 +318,7 @@
   if (const auto* report = std::get_if<Report>(&loaded)) {
     return *report;
   }
-  return ErrorReport(Check(std::get<Document>(loaded), true));
+  return CheckAnnounced(std::get<Document>(loaded));
 }
 
 Report
--- a/src/Ctl/Session.h
+++ b/src/Ctl/Session.h
@@ -54,8 +54,11 @@
   Report RunPlan(const SubmissionPlan& aPlan);
   Document NextGeneration(Document aEdited, const DeploymentView& aView);
 
-  std::vector<DocumentError> Check(const Document& aDocument,
-                                   bool aWithEndpoints);
+  /// Validates with the announced endpoints when there is a store.
+  Report CheckAnnounced(const Document& aDocument);
+  std::vector<DocumentError> Check(
+    const Document& aDocument,
+    std::optional<std::vector<AnnouncedEndpoint>> aEndpoints);
   std::variant<Document, Report> Load();
   std::variant<Document, Report> LoadFile();
   std::variant<Document, Report> LoadStored();
