--- /dev/null
+++ b/include/snipepost/Platform/Backoff.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <snipepost/Base/Random.h>
+#include <snipepost/Base/Types.h>
+
+namespace snipepost {
+
+/// Delays between attempts: exponential growth with full jitter, that is, a
+/// uniformly distributed share of the current bound ("Exponential Backoff And
+/// Jitter", AWS Architecture Blog, 2015). Pure; the caller waits.
+class Backoff
+{
+public:
+  /// Bound of the first delay, several times the platform's usual latency.
+  static constexpr Duration kFirst = std::chrono::milliseconds(100);
+  /// Greatest bound. After an outage everybody is back within this time.
+  static constexpr Duration kLimit = std::chrono::seconds(10);
+
+  explicit Backoff(Duration aFirst = kFirst, Duration aLimit = kLimit)
+    : mFirst(aFirst)
+    , mLimit(aLimit)
+    , mBound(aFirst)
+  {
+  }
+
+  /// The delay before the next attempt, from 0 to the current bound, which
+  /// then doubles.
+  Duration Next(Random& aRandom)
+  {
+    const Duration bound = std::exchange(mBound, std::min(mBound * 2, mLimit));
+    return std::chrono::duration_cast<Duration>(bound * aRandom.Fraction());
+  }
+
+  /// The bound of the next delay.
+  Duration Bound() const { return mBound; }
+
+  /// Starts over after a success.
+  void Reset() { mBound = mFirst; }
+
+private:
+  Duration mFirst;
+  Duration mLimit;
+  Duration mBound;
+};
+
+} // namespace snipepost
