--- a/include/snipepost/Admission/DrainState.h
+++ b/include/snipepost/Admission/DrainState.h
@@ -29,8 +29,9 @@
   {
   }
 
-  /// Starts a drain unless one is under way.
-  void Start(Instant aNow);
+  /// Starts a drain unless one is under way. Without aWarn every phase is due
+  /// at once.
+  void Start(Instant aNow, bool aWarn);
 
   /// Returns to serving, when a drain is called off.
   void Stop();
--- a/src/Admission/AdaptiveLimit.cpp
+++ b/src/Admission/AdaptiveLimit.cpp
@@ -9,6 +9,11 @@
 /// Halving reaches 1 from 4 slots after two overloads.
 constexpr double kDecrease = 0.5;
 
+/// Ten responses at a limit of 1 before a second request is tried. An increase
+/// after every response would make a server that stays cold shed one request
+/// for each one that it answers.
+constexpr double kIncrease = 0.1;
+
 } // namespace
 
 AdaptiveLimit::AdaptiveLimit(uint32_t aSlots)
@@ -31,7 +36,7 @@
   if (aInFlight < Limit()) {
     return;
   }
-  mLimit = std::min<double>(mSlots, mLimit + 1.0 / mLimit);
+  mLimit = std::min<double>(mSlots, mLimit + kIncrease / mLimit);
 }
 
 void
--- a/src/Admission/AgentCore.cpp
+++ b/src/Admission/AgentCore.cpp
@@ -148,7 +148,9 @@
 AgentCore::UpdateDrain(Instant aNow)
 {
   if (mConfig.mDraining || mBackend.IsLeaving() || mShutdown) {
-    mDrain.Start(aNow);
+    // Without flows there is nobody to warn. An agent that starts beside a
+    // leaving backend server must not accept work for another second.
+    mDrain.Start(aNow, mConnections.Count() > 0 || !mRequests.empty());
   } else {
     mDrain.Stop();
   }
@@ -227,8 +229,8 @@
     mShedsInARow = 0;
     return;
   }
-  // A draining backend server refuses because it leaves.
-  if (!mOptions.mGuards.mAdaptiveLimit || mBackend.IsLeaving()) {
+  // This includes refusals by a server that leaves: it may be cold as well.
+  if (!mOptions.mGuards.mAdaptiveLimit) {
     return;
   }
   mAdaptive.OnOverload(aRequest.mPassedOn, aNow);
--- a/src/Admission/AgentCoreEvents.cpp
+++ b/src/Admission/AgentCoreEvents.cpp
@@ -86,6 +86,7 @@
   Begin(aNow);
   const auto change = mBackend.Update(aEvent);
   if (change == BackendLife::Change::Stale) {
+    UpdateDrain(aNow);
     return Finish(aNow);
   }
   if (change == BackendLife::Change::Boot ||
--- a/src/Admission/BackendLife.cpp
+++ b/src/Admission/BackendLife.cpp
@@ -1,7 +1,6 @@
 #include <snipepost/Admission/BackendLife.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace snipepost {
 
@@ -12,28 +11,44 @@
 
 } // namespace
 
+bool
+BackendLife::IsLate(const BackendState& aState)
+{
+  const std::string& boot = aState.mBoot;
+  const bool earlier =
+    boot != mBoot &&
+    std::find(mEarlier.begin(), mEarlier.end(), boot) != mEarlier.end();
+  if (!earlier || boot == mDoubted) {
+    mDoubted.clear();
+    return false;
+  }
+  mDoubted = boot;
+  return true;
+}
+
 BackendLife::Change
 BackendLife::Update(const BackendState& aState)
 {
   const bool known = !aState.mBoot.empty();
-  if (known && aState.mBoot != mBoot &&
-      std::find(mEarlier.begin(), mEarlier.end(), aState.mBoot) !=
-        mEarlier.end()) {
+  if (known && IsLate(aState)) {
+    if (aState.mHealth == BackendHealth::Draining) {
+      mHealth = BackendHealth::Draining;
+    }
     return Change::Stale;
   }
   const bool reconnected = mReachable != aState.mReachable;
   const bool rebooted = known && !mBoot.empty() && aState.mBoot != mBoot;
   mReachable = aState.mReachable;
+  mHealth = aState.mHealth.value_or(mHealth);
   if (rebooted) {
-    mEarlier.push_back(std::exchange(mBoot, aState.mBoot));
+    mEarlier.push_back(mBoot);
     if (mEarlier.size() > kRemembered) {
       mEarlier.pop_front();
     }
-    mHealth = BackendHealth::Ok;
-  } else if (known) {
+  }
+  if (known) {
     mBoot = aState.mBoot;
   }
-  mHealth = aState.mHealth.value_or(mHealth);
   if (rebooted) {
     return Change::Boot;
   }
--- a/src/Admission/DrainState.cpp
+++ b/src/Admission/DrainState.cpp
@@ -3,12 +3,12 @@
 namespace snipepost {
 
 void
-DrainState::Start(Instant aNow)
+DrainState::Start(Instant aNow, bool aWarn)
 {
   if (mStarted) {
     return;
   }
-  mStarted = aNow;
+  mStarted = aWarn ? aNow : aNow - mOptions.mQueueTime;
 }
 
 void
--- a/tests/Admission/DrainStateTest.cpp
+++ b/tests/Admission/DrainStateTest.cpp
@@ -19,7 +19,7 @@
 {
   DrainState drain{ DrainOptions{} };
   BOOST_TEST(!drain.Advance(kStart));
-  drain.Start(kStart);
+  drain.Start(kStart, true);
   for (const Phase phase :
        { Phase::Noticed, Phase::Closing, Phase::Emptying }) {
     BOOST_TEST(drain.Advance(kStart + 60s));
@@ -31,9 +31,9 @@
 BOOST_AUTO_TEST_CASE(PhasesFollowTheirTimes)
 {
   DrainState drain{ DrainOptions{} };
-  drain.Start(kStart);
+  drain.Start(kStart, true);
   BOOST_TEST(drain.Advance(kStart));
-  drain.Start(kStart + 500ms);
+  drain.Start(kStart + 500ms, true);
   BOOST_TEST(!drain.Advance(kStart + 999ms));
   BOOST_TEST(drain.Advance(kStart + 1s));
   BOOST_TEST((drain.NextStep() == kStart + 4s));
@@ -42,4 +42,15 @@
   BOOST_TEST(!drain.NextStep().has_value());
 }
 
+// Guards against a restarted agent that begins the drain of its backend server
+// anew and accepts work meanwhile.
+BOOST_AUTO_TEST_CASE(P8_AgentRestart_NobodyToWarn)
+{
+  DrainState drain{ DrainOptions{} };
+  drain.Start(kStart, false);
+  while (drain.Advance(kStart)) {
+  }
+  BOOST_TEST((drain.Current() == Phase::Emptying));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
