Fix types that collided between modules

Change: the tag has a name of its own; setting parsers of enumerations are found in the namespace of their type.

--- a/include/snipepost/Settings/Schema.h
+++ b/include/snipepost/Settings/Schema.h
@@ -126,7 +126,8 @@
     mSpecs.push_back(
       { std::move(aName), std::move(aDefault), std::move(aHelp), false });
     mAssign.push_back([aMember](Struct& aOut, const std::string& aText) {
-      return parse::Value(aText, aOut.*aMember);
+      using parse::Value; // Others are found in the member type's namespace.
+      return Value(aText, aOut.*aMember);
     });
     return *this;
   }
--- a/src/Ctl/EditWords.cpp
+++ b/src/Ctl/EditWords.cpp
@@ -67,7 +67,7 @@
   return Edit(SetDomain{ aOptions.mWords[2], State });
 }
 
-template<BackendState State>
+template<BackendRuleState State>
 Result
 BackendSet(const Options& aOptions)
 {
@@ -113,8 +113,8 @@
   { "domain", "add", 4, 5, DomainAdd },
   { "domain", "out", 3, 3, DomainSet<DomainState::Out> },
   { "domain", "in", 3, 3, DomainSet<DomainState::In> },
-  { "backend", "drain", 4, 4, BackendSet<BackendState::Draining> },
-  { "backend", "admit", 4, 4, BackendSet<BackendState::Admitted> },
+  { "backend", "drain", 4, 4, BackendSet<BackendRuleState::Draining> },
+  { "backend", "admit", 4, 4, BackendSet<BackendRuleState::Admitted> },
   { "plan", "add", 4, 4, Plan<AddPlanned> },
   { "plan", "remove", 4, 4, Plan<RemovePlanned> },
 };
--- a/src/Daemon/DaemonSettings.cpp
+++ b/src/Daemon/DaemonSettings.cpp
@@ -4,8 +4,6 @@
 
 namespace snipepost {
 
-namespace parse {
-
 // Found by Schema::Add for the settings whose types are enumerations.
 
 static std::string
@@ -35,8 +33,6 @@
   return {};
 }
 
-} // namespace parse
-
 namespace {
 
 template<typename Number>
