--- a/src/Http2/Client.cpp
+++ b/src/Http2/Client.cpp
@@ -85,7 +85,7 @@
       stream->mTimer.cancel();
       stream->mConnection.reset();
       // Posted, as one of the callbacks may be what destroys the client.
-      asio::post(mContext, [stream] { stream->mCallbacks = {}; });
+      asio::post(mContext, [dropped = stream] { dropped->mCallbacks = {}; });
     }
     Close();
   }
--- a/src/Http2/Connection.cpp
+++ b/src/Http2/Connection.cpp
@@ -66,7 +66,7 @@
 {
   for (const auto& [name, value] : aHeaders) {
     const bool hasCapital = std::any_of(
-      name.begin(), name.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
+      name.begin(), name.end(), [](char aC) { return aC >= 'A' && aC <= 'Z'; });
     if (!name.empty() && name[0] != ':' && !hasCapital) {
       Add(name, value);
     }
--- a/src/Http2/Connection.h
+++ b/src/Http2/Connection.h
@@ -102,7 +102,7 @@
   asio::ip::tcp::socket mSocket;
   asio::steady_timer mLingerTimer;
   nghttp2_session* mSession = nullptr;
-  std::array<uint8_t, 16 * 1024> mInput{};
+  std::array<uint8_t, 16UL * 1024> mInput{};
   std::string mOutput;
   bool mWriting = false;
   bool mFlushScheduled = false;
--- /dev/null
+++ b/tools/platform/Main.cpp
@@ -0,0 +1,41 @@
+#include <memory>
+#include <stdexcept>
+
+#include "Service.h"
+#include "tools/common/Program.h"
+
+using namespace snipepost;
+using namespace snipepost::tools;
+
+namespace po = boost::program_options;
+
+int
+main(int argc, char** argv)
+{
+  ServiceOptions options;
+  std::string listen;
+  po::options_description flags;
+  flags.add_options()("listen",
+                      po::value(&listen)->default_value("127.0.0.1:0"),
+                      "address of the object API and of /fault");
+  flags.add_options()("journal",
+                      po::value(&options.mJournal),
+                      "file for accepted writes, appended to; - is stdout");
+  flags.add_options()("writes-per-second",
+                      po::value(&options.mWritesPerSecond)->default_value(400),
+                      "rate limit of writes; 0 is none");
+  flags.add_options()("reads-per-second",
+                      po::value(&options.mReadsPerSecond)->default_value(2000),
+                      "rate limit of reads and pending watches; 0 is none");
+  asio::io_context context;
+  std::unique_ptr<Service> service;
+  return RunProgram(argc, argv, flags, context, [&] {
+    const auto address = ParseListenAddress(listen);
+    if (!address) {
+      throw std::runtime_error("--listen is not an IPv4 address and port");
+    }
+    options.mListen = *address;
+    service = std::make_unique<Service>(context, options);
+    return service->LocalAddress();
+  });
+}
