Add the stand-in for a backend server

Warmth grows linearly with time and sets the speed and the number of requests in flight that the server survives: 2 when cold, 4 times the slots when warm. More makes it fall over: it closes everything, refuses connections and boots cold with a new ID. A cold start without warning has a grace time, because no agent can know of it at once.

--- /dev/null
+++ b/tools/backend/Backend.cpp
@@ -0,0 +1,222 @@
+#include "Backend.h"
+
+#include <unistd.h>
+
+#include <utility>
+
+#include "tools/common/Program.h"
+
+namespace snipepost::tools {
+
+namespace json = boost::json;
+
+namespace {
+
+// How often the state is recorded for reports that lag.
+constexpr auto kSampleInterval = std::chrono::milliseconds(10);
+
+// What a shed caller is told to wait, in seconds.
+constexpr const char* kRetryAfter = "1";
+
+} // namespace
+
+Backend::Backend(asio::io_context& aContext, const BackendOptions& aOptions)
+  : mContext(aContext)
+  , mOptions(aOptions)
+  , mListen(aOptions.mListen)
+  , mJournal(aOptions.mJournal)
+  , mRandom(aOptions.mSeed)
+  , mCapacity(aOptions.mSlots, aOptions.mColdTime)
+  , mSampleTimer(aContext)
+  , mRestartTimer(aContext)
+{
+  if (!aOptions.mControl.IsNull()) {
+    mControl = std::make_unique<http2::Server>(
+      mContext,
+      aOptions.mControl,
+      [this](const http2::ServerRequest& aRequest,
+             const ResponderPointer& aResponder) {
+        OnFault(aRequest, aResponder);
+      });
+  }
+  Start();
+  Sample();
+}
+
+void
+Backend::Start()
+{
+  http2::ServerOptions options;
+  options.mMaxConnections = mOptions.mConnections;
+  mServer = std::make_unique<http2::Server>(
+    mContext,
+    mListen,
+    [this](http2::ServerRequest aRequest, const ResponderPointer& aResponder) {
+      OnRequest(std::move(aRequest), aResponder);
+    },
+    options);
+  // A restart listens on the same port again.
+  mListen = mServer->LocalAddress();
+  // Time and process number make the ID differ between processes as well.
+  mBoot = std::to_string(NowMs()) + '-' + std::to_string(getpid()) + '-' +
+          std::to_string(++mBoots);
+  mBootTime = Now();
+  mCapacity.TurnCold(mBootTime, Duration::zero());
+  WriteJournal("booted", nullptr);
+}
+
+void
+Backend::FallOver()
+{
+  WriteJournal("fell-over", nullptr);
+  mServer.reset();
+  mStalled.clear();
+  for (const auto& [id, job] : std::map(mJobs)) {
+    End(id, "aborted");
+  }
+  mRestartTimer.expires_after(mOptions.mDownTime);
+  mRestartTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      Start();
+    }
+  });
+}
+
+void
+Backend::OnRequest(http2::ServerRequest aRequest,
+                   const ResponderPointer& aResponder)
+{
+  if (aRequest.mPath == "/fault") {
+    OnFault(aRequest, aResponder);
+    return;
+  }
+  WhenNotStalled([this, request = std::move(aRequest), aResponder] {
+    if (!mServer || !aResponder->Open()) {
+      return;
+    }
+    if (request.mPath == "/health" || request.mPath == "/load") {
+      AnswerReport(request.mPath, aResponder);
+      return;
+    }
+    const JobPointer job = Parse(request, aResponder);
+    if (!job) {
+      aResponder->Respond(404, {}, "");
+      return;
+    }
+    Admit(job);
+  });
+}
+
+void
+Backend::Admit(const JobPointer& aJob)
+{
+  const bool isSession = aJob->mKind == Kind::Session;
+  const Instant now = Now();
+  aJob->mConcurrency = InFlight() + (isSession ? 0 : 1);
+  aJob->mOverload = mCapacity.Overloaded(aJob->mConcurrency, now);
+  if (mFaults.mDraining) {
+    Shed(aJob, "refused-draining");
+    return;
+  }
+  if (aJob->mOverload && !isSession && !mCapacity.InGrace(now)) {
+    WriteJournal("overloaded", aJob.get());
+    FallOver();
+    return;
+  }
+  if (!isSession && mOptions.mShedFrom > 0 &&
+      InFlight() >= mOptions.mShedFrom) {
+    Shed(aJob, "shed");
+    return;
+  }
+  mJobs[aJob->mId] = aJob;
+  aJob->mResponder->OnCancel([this, id = aJob->mId] { End(id, "cancelled"); });
+  StartDeadline(aJob);
+  if (isSession) {
+    Run(aJob);
+    return;
+  }
+  mWaiting.push_back(aJob);
+  StartWaiting();
+}
+
+void
+Backend::Shed(const JobPointer& aJob, std::string_view aEvent)
+{
+  WriteJournal(aEvent, aJob.get());
+  if (mOptions.mShedWith == ShedWith::RefusedStream) {
+    aJob->mResponder->Reset(http2::ResetCode::RefusedStream);
+    return;
+  }
+  aJob->mResponder->Respond(503, { { "retry-after", kRetryAfter } }, "");
+}
+
+void
+Backend::AnswerReport(std::string_view aPath,
+                      const ResponderPointer& aResponder)
+{
+  const Report report = LaggedReport();
+  json::object body{ { "boot", report.mBoot } };
+  if (aPath == "/health") {
+    body["status"] = mFaults.mStatus.value_or(report.mStatus);
+  } else {
+    body["inFlight"] = mFaults.mInFlight.value_or(report.mInFlight);
+    body["slots"] = mCapacity.Slots();
+    body["warm"] = mFaults.mWarmth.value_or(report.mWarmth);
+  }
+  aResponder->Respond(
+    200, { { "content-type", "application/json" } }, json::serialize(body));
+}
+
+void
+Backend::Sample()
+{
+  const Instant now = Now();
+  const char* status = "ok";
+  if (mFaults.mDraining) {
+    status = "draining";
+  } else if (now < mBootTime + mOptions.mColdTime) {
+    status = "starting";
+  }
+  mReports.push_back({ now, mBoot, status, InFlight(), mCapacity.Warmth(now) });
+  while (mReports.size() > 1 && mReports[1].mAt + mOptions.mReportLag <= now) {
+    mReports.pop_front();
+  }
+  mSampleTimer.expires_after(kSampleInterval);
+  mSampleTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      Sample();
+    }
+  });
+}
+
+Report
+Backend::LaggedReport() const
+{
+  return mReports.front();
+}
+
+void
+Backend::WriteJournal(std::string_view aEvent, const Job* aJob)
+{
+  const Instant now = Now();
+  json::object line{ { "event", aEvent },
+                     { "ms", NowMs() },
+                     { "boot", mBoot },
+                     { "inFlight", InFlight() },
+                     { "warmth", mCapacity.Warmth(now) },
+                     { "bearable", mCapacity.Bearable(now) } };
+  if (aJob != nullptr) {
+    const http2::Headers& headers = aJob->mRequest.mHeaders;
+    line["job"] = aJob->mId;
+    line["method"] = aJob->mRequest.mMethod;
+    line["path"] = aJob->mRequest.mPath;
+    line["idempotency-key"] = http2::FindHeader(headers, "idempotency-key");
+    line["request-id"] = http2::FindHeader(headers, "request-id");
+    line["concurrency"] = aJob->mConcurrency;
+    line["overload"] = aJob->mOverload;
+    line["ran"] = aJob->mStarted;
+  }
+  mJournal.Write(json::serialize(line));
+}
+
+} // namespace snipepost::tools
--- /dev/null
+++ b/tools/backend/Backend.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <asio.hpp>
+#include <boost/json.hpp>
+
+#include <snipepost/Base/Random.h>
+#include <snipepost/Http2/Server.h>
+
+#include "Capacity.h"
+#include "tools/common/BulkBytes.h"
+#include "tools/common/Journal.h"
+
+namespace snipepost::tools {
+
+/// Distribution of service times around their mean.
+enum class Spread
+{
+  Exponential,
+  Fixed
+};
+
+/// How a request that is not accepted is answered.
+enum class ShedWith
+{
+  Unavailable,  ///< 503 with retry-after.
+  RefusedStream ///< RST_STREAM REFUSED_STREAM.
+};
+
+struct BackendOptions
+{
+  Address mListen;
+  /// Serves only /fault, also while the server is down; null for none.
+  Address mControl;
+  std::string mJournal;
+  uint64_t mSeed = 1;
+  size_t mSlots = 4;
+  size_t mConnections = 2000;
+  Duration mColdTime{ 0 };
+  /// Time that a server which fell over stays down.
+  Duration mDownTime = std::chrono::seconds(3);
+  /// Time after an unannounced cold start in which overload is tolerated.
+  Duration mColdGrace = std::chrono::seconds(1);
+  /// Mean service times of a warm server.
+  Duration mSubmissionTime = std::chrono::milliseconds(20);
+  Duration mQueryTime = std::chrono::milliseconds(5);
+  Duration mBulkTime = std::chrono::milliseconds(10);
+  Spread mSpread = Spread::Exponential;
+  /// Requests in flight from which further ones are shed; 0 never sheds.
+  size_t mShedFrom = 12;
+  ShedWith mShedWith = ShedWith::Unavailable;
+  /// Age of what /health and /load report.
+  Duration mReportLag{ 0 };
+};
+
+/// What /health and /load say of one moment.
+struct Report
+{
+  Instant mAt;
+  std::string mBoot;
+  std::string mStatus;
+  size_t mInFlight = 0;
+  double mWarmth = 1.0;
+};
+
+/// The faults that `POST /fault` switches on and off.
+struct BackendFaults
+{
+  bool mDraining = false;
+  bool mStalled = false;
+  /// False reports; nothing means the truth.
+  std::optional<std::string> mStatus;
+  std::optional<size_t> mInFlight;
+  std::optional<double> mWarmth;
+};
+
+/// A backend server as callers and agents see one.
+class Backend
+{
+public:
+  /// Starts listening; throws when that or the journal fails.
+  Backend(asio::io_context& aContext, const BackendOptions& aOptions);
+
+  Address LocalAddress() const { return mListen; }
+
+private:
+  using ResponderPointer = std::shared_ptr<http2::Responder>;
+
+  enum class Kind
+  {
+    Submission,
+    Query,
+    Bulk,
+    Session
+  };
+
+  /// A request that waits for a slot, runs, or is a session.
+  struct Job
+  {
+    explicit Job(asio::io_context& aContext)
+      : mTimer(aContext)
+      , mDeadlineTimer(aContext)
+    {
+    }
+
+    uint64_t mId = 0;
+    Kind mKind = Kind::Query;
+    http2::ServerRequest mRequest;
+    ResponderPointer mResponder;
+    /// Number of the query, bytes of the bulk transfer or seconds of the
+    /// session, and the seed of a bulk transfer.
+    uint64_t mSize = 0;
+    uint64_t mSeed = 0;
+    /// Bytes or lines sent so far.
+    uint64_t mProgress = 0;
+    bool mStarted = false;
+    size_t mConcurrency = 0;
+    bool mOverload = false;
+    std::optional<BulkBytes> mBytes;
+    asio::steady_timer mTimer;
+    asio::steady_timer mDeadlineTimer;
+  };
+  using JobPointer = std::shared_ptr<Job>;
+
+  // Backend.cpp: life of the server, admission, reports and journal.
+  void Start();
+  void FallOver();
+  void OnRequest(http2::ServerRequest aRequest,
+                 const ResponderPointer& aResponder);
+  void Admit(const JobPointer& aJob);
+  void Shed(const JobPointer& aJob, std::string_view aEvent);
+  void AnswerReport(std::string_view aPath, const ResponderPointer& aResponder);
+  void Sample();
+  Report LaggedReport() const;
+  size_t InFlight() const { return mRunning + mWaiting.size(); }
+  void WriteJournal(std::string_view aEvent, const Job* aJob);
+
+  // Work.cpp: processing of accepted requests.
+  JobPointer Parse(http2::ServerRequest aRequest,
+                   const ResponderPointer& aResponder);
+  void StartDeadline(const JobPointer& aJob);
+  void StartWaiting();
+  void Run(const JobPointer& aJob);
+  void Complete(const JobPointer& aJob);
+  void SendBulk(const JobPointer& aJob);
+  void SendLine(const JobPointer& aJob);
+  /// Removes a job and notes aEvent; false when it has ended before.
+  bool End(uint64_t aJob, std::string_view aEvent);
+  Duration ServiceTime(Kind aKind);
+  /// Runs aAction now or, when the server stalls, once it no longer does.
+  void WhenNotStalled(std::function<void()> aAction);
+
+  // Faults.cpp: the control interface.
+  void OnFault(const http2::ServerRequest& aRequest,
+               const ResponderPointer& aResponder);
+  void SetFault(std::string_view aName, const boost::json::value& aValue);
+  boost::json::object DescribeFaults() const;
+
+  asio::io_context& mContext;
+  BackendOptions mOptions;
+  Address mListen;
+  Journal mJournal;
+  Random mRandom;
+  Capacity mCapacity;
+  BackendFaults mFaults;
+  std::string mBoot;
+  Instant mBootTime;
+  uint64_t mBoots = 0;
+  uint64_t mLastJob = 0;
+  uint64_t mRuns = 0;
+  size_t mRunning = 0;
+  std::deque<JobPointer> mWaiting;
+  /// All jobs that have not ended, sessions included.
+  std::map<uint64_t, JobPointer> mJobs;
+  std::vector<std::function<void()>> mStalled;
+  std::deque<Report> mReports;
+  asio::steady_timer mSampleTimer;
+  asio::steady_timer mRestartTimer;
+  std::unique_ptr<http2::Server> mControl;
+  /// Null while the server is down.
+  std::unique_ptr<http2::Server> mServer;
+};
+
+} // namespace snipepost::tools
