--- a/tools/common/BulkBytes.h
+++ b/tools/common/BulkBytes.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <cstring>
 #include <span>
+#include <string>
 
 #include <xxhash.h>
 
@@ -32,4 +33,28 @@
   }
 }
 
+/// Reads a bulk body from its start, piece by piece.
+class BulkBytes
+{
+public:
+  explicit BulkBytes(uint64_t aSeed)
+    : mSeed(aSeed)
+  {}
+
+  /// The next aCount bytes.
+  std::string Next(size_t aCount)
+  {
+    std::string bytes(aCount, '\0');
+    FillBulkBytes(mSeed,
+                  mOffset,
+                  { reinterpret_cast<uint8_t*>(bytes.data()), bytes.size() });
+    mOffset += aCount;
+    return bytes;
+  }
+
+private:
+  uint64_t mSeed;
+  uint64_t mOffset = 0;
+};
+
 } // namespace snipepost::tools
