--- a/src/Ctl/History.cpp
+++ b/src/Ctl/History.cpp
@@ -116,9 +116,10 @@
                            std::to_string(entry.mTo.Value()));
     }
   }
-  return PlainReport(ExitCode::Absent,
-                     "not accepted: neither the store nor an instance knows " +
-                       mOptions.mSubmission);
+  return PlainReport(
+    ExitCode::Absent,
+    "not accepted so far: neither the store nor an instance knows " +
+      mOptions.mSubmission);
 }
 
 std::optional<std::vector<AuditEntry>>
--- a/src/Ctl/PlatformBinding.cpp
+++ b/src/Ctl/PlatformBinding.cpp
@@ -8,17 +8,17 @@
 class UnboundStore : public ObjectStore
 {
 public:
-  StoreAnswer Get(const std::string&) override { return kRefused; }
-  StoreAnswer List(const std::string&) override { return kRefused; }
+  StoreAnswer Get(const std::string&) override { return mRefused; }
+  StoreAnswer List(const std::string&) override { return mRefused; }
   StoreAnswer Put(const std::string&,
                   const std::string&,
                   std::optional<ObjectVersion>) override
   {
-    return kRefused;
+    return mRefused;
   }
 
 private:
-  const StoreAnswer kRefused{ StoreOutcome::Refused, {} };
+  const StoreAnswer mRefused{ StoreOutcome::Refused, {} };
 };
 
 } // namespace
