--- a/include/snipepost/Ctl/ObjectStore.h
+++ b/include/snipepost/Ctl/ObjectStore.h
@@ -20,7 +20,7 @@
   Unknown,
 };
 
-struct StoredObject
+struct ObjectRecord
 {
   std::string mKey;
   ObjectVersion mVersion;
@@ -31,7 +31,7 @@
 {
   StoreOutcome mOutcome = StoreOutcome::Unknown;
   /// One object after a successful get, any number after a list.
-  std::vector<StoredObject> mObjects;
+  std::vector<ObjectRecord> mObjects;
 };
 
 /// What snipepostctl needs of the platform's object API.
--- a/src/Ctl/Deployment.cpp
+++ b/src/Ctl/Deployment.cpp
@@ -45,7 +45,7 @@
 /// Parses the announcement `endpoints/<service>/<ip>:<port>`; the service is
 /// its name or ID.
 std::optional<AnnouncedEndpoint>
-ParseEndpoint(const Document& aDocument, const StoredObject& aObject)
+ParseEndpoint(const Document& aDocument, const ObjectRecord& aObject)
 {
   const auto address = ParseAddress(AfterLastSlash(aObject.mKey));
   const size_t start = aObject.mKey.find('/') + 1;
@@ -139,11 +139,8 @@
   std::vector<Address> instances = mOptions.mInstances;
   const auto answer = List("entries/");
   for (const auto& object : answer.mObjects) {
-    const json::object value = ObjectOf(object.mValue);
-    const auto* control = value.if_contains("control");
-    const auto address = control && control->is_string()
-                           ? ParseAddress(control->get_string())
-                           : std::optional<Address>();
+    // An instance serves its control streams on the announced address.
+    const auto address = ParseAddress(AfterLastSlash(object.mKey));
     if (address && std::ranges::count(instances, *address) == 0) {
       instances.push_back(*address);
     }
--- a/src/Ctl/PlatformBinding.cpp
+++ b/src/Ctl/PlatformBinding.cpp
@@ -1,38 +1,152 @@
 #include "src/Ctl/PlatformBinding.h"
 
+#include <utility>
+
+#include <asio.hpp>
+
+#include <snipepost/Document/Codec.h>
+#include <snipepost/Http2/Client.h>
+#include <snipepost/Platform/ObjectClient.h>
+
 namespace snipepost {
 
 namespace {
 
-/// Refuses every call until module Platform is merged.
-class UnboundStore : public ObjectStore
+/// Limit for one GET from an instance. An instance that does not answer by
+/// then is reported as such.
+constexpr Duration kInstanceTimeout = std::chrono::seconds(2);
+
+StoreOutcome
+FromClient(ObjectOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ObjectOutcome::Done:
+      return StoreOutcome::Done;
+    case ObjectOutcome::Conflict:
+      return StoreOutcome::Conflict;
+    case ObjectOutcome::Absent:
+      return StoreOutcome::Absent;
+    case ObjectOutcome::Refused:
+      return StoreOutcome::Refused;
+    case ObjectOutcome::Unknown:
+      break;
+  }
+  return StoreOutcome::Unknown;
+}
+
+ObjectRecord
+FromClient(StoredObject aObject)
+{
+  return { std::move(aObject.mKey),
+           aObject.mVersion,
+           std::move(aObject.mValue) };
+}
+
+/// Turns the asynchronous client's calls into blocking ones.
+class PlatformStore : public ObjectStore
 {
 public:
-  StoreAnswer Get(const std::string&) override { return mRefused; }
-  StoreAnswer List(const std::string&) override { return mRefused; }
-  StoreAnswer Put(const std::string&,
-                  const std::string&,
-                  std::optional<ObjectVersion>) override
+  explicit PlatformStore(Address aPlatform)
+    : mClient(mContext, aPlatform)
+  {
+  }
+
+  StoreAnswer Get(const std::string& aKey) override
+  {
+    StoreAnswer answer;
+    bool ended = false;
+    mClient.Get(aKey, [&](GetResult aResult) {
+      answer.mOutcome = FromClient(aResult.mOutcome);
+      if (aResult.mObject) {
+        answer.mObjects.push_back(FromClient(*std::move(aResult.mObject)));
+      }
+      ended = true;
+    });
+    Wait(ended);
+    return answer;
+  }
+
+  StoreAnswer List(const std::string& aPrefix) override
+  {
+    StoreAnswer answer;
+    bool ended = false;
+    mClient.List(aPrefix, [&](ListResult aResult) {
+      answer.mOutcome = FromClient(aResult.mOutcome);
+      for (auto& object : aResult.mObjects) {
+        answer.mObjects.push_back(FromClient(std::move(object)));
+      }
+      ended = true;
+    });
+    Wait(ended);
+    return answer;
+  }
+
+  StoreAnswer Put(const std::string& aKey,
+                  const std::string& aValue,
+                  std::optional<ObjectVersion> aVersion) override
   {
-    return mRefused;
+    StoreAnswer answer;
+    bool ended = false;
+    mClient.Put(aKey,
+                aValue,
+                aVersion ? WriteCondition::IfVersion(*aVersion)
+                         : WriteCondition::IfAbsent(),
+                [&](const WriteResult& aResult) {
+                  answer.mOutcome = FromClient(aResult.mOutcome);
+                  ended = true;
+                });
+    Wait(ended);
+    return answer;
   }
 
 private:
-  const StoreAnswer mRefused{ StoreOutcome::Refused, {} };
+  /// Runs the context until the callback was called; the client's time limit
+  /// bounds this. The idle connection keeps the context from running dry.
+  void Wait(const bool& aEnded)
+  {
+    mContext.restart();
+    while (!aEnded && mContext.run_one() > 0) {
+    }
+  }
+
+  asio::io_context mContext;
+  ObjectClient mClient;
 };
 
 } // namespace
 
 std::unique_ptr<ObjectStore>
-OpenPlatformStore(Address)
+OpenPlatformStore(Address aPlatform)
 {
-  return std::make_unique<UnboundStore>();
+  return std::make_unique<PlatformStore>(aPlatform);
 }
 
 InstanceAnswer
-AskInstance(Address, const std::string&)
+AskInstance(Address aControl, const std::string& aPath)
 {
-  return {};
+  asio::io_context context;
+  http2::Client client(context, aControl);
+  http2::Request request;
+  request.mPath = aPath;
+  request.mTimeout = kInstanceTimeout;
+  InstanceAnswer answer;
+  bool ended = false;
+  client.Collect(std::move(request),
+                 kMaxDocumentBytes,
+                 [&](http2::Result aResult, http2::Response aResponse) {
+                   ended = true;
+                   if (aResult != http2::Result::Answered) {
+                     return;
+                   }
+                   answer.mReached =
+                     aResponse.mStatus == 200 || aResponse.mStatus == 404;
+                   if (aResponse.mStatus == 200) {
+                     answer.mBody = std::move(aResponse.mBody);
+                   }
+                 });
+  while (!ended && context.run_one() > 0) {
+  }
+  return answer;
 }
 
 } // namespace snipepost
--- a/src/Ctl/Submission.cpp
+++ b/src/Ctl/Submission.cpp
@@ -172,7 +172,7 @@
   mAudits.clear();
   mAuditKeyTaken = false;
   if (aAnswer.mOutcome == StoreOutcome::Done) {
-    const StoredObject& object = aAnswer.mObjects.front();
+    const ObjectRecord& object = aAnswer.mObjects.front();
     auto parsed = ParseDocument(object.mValue);
     if (!parsed.mValue) {
       Finish(mMayHaveWritten ? Verdict::Unknown : Verdict::Refused,
