Test that both directions of a body are bounded

Guards the memory that one stream takes: a response whose caller is silent holds at most the send buffer, a request's body at most the stream window.

--- a/tests/Quic/FakeNetwork.cpp
+++ b/tests/Quic/FakeNetwork.cpp
@@ -210,7 +210,9 @@
   Exchange& exchange = mExchanges.at(aRequest);
   const auto rest =
     std::span<const uint8_t>(exchange.mBody).subspan(exchange.mSent);
-  exchange.mSent += mServer->SendBody(aRequest, rest, true);
+  const size_t taken = mServer->SendBody(aRequest, rest, true);
+  mMostTaken = std::max(mMostTaken, taken);
+  exchange.mSent += taken;
 }
 
 void
@@ -244,7 +246,10 @@
 {
   auto& body = mExchanges.at(aRequest).mBody;
   body.insert(body.end(), aBytes.begin(), aBytes.end());
-  mServer->ConsumeBody(aRequest, aBytes.size());
+  mBodyBytes += aBytes.size();
+  if (mConsume) {
+    mServer->ConsumeBody(aRequest, aBytes.size());
+  }
 }
 
 void
--- a/tests/Quic/FakeNetwork.h
+++ b/tests/Quic/FakeNetwork.h
@@ -116,6 +116,11 @@
   LinkFaults mFaults;
   Instant mNow{ std::chrono::seconds(1) };
   bool mRefuseAll = false;
+  /// Whether the server returns credit for request bodies.
+  bool mConsume = true;
+  /// Most bytes that one SendBody() call took.
+  size_t mMostTaken = 0;
+  size_t mBodyBytes = 0;
   std::vector<ConnectionHandle> mOpen;
   std::vector<FlowEnd> mClosed;
   std::vector<std::string> mStarted;
--- a/tests/Quic/ServerEndpointTest.cpp
+++ b/tests/Quic/ServerEndpointTest.cpp
@@ -204,6 +204,39 @@
   BOOST_TEST(network.mDone == submitted);
 }
 
+// Guards against a response that is held in memory as a whole because its
+// caller reads slowly or not at all.
+BOOST_AUTO_TEST_CASE(SlowCaller_SendBufferBounded)
+{
+  FakeNetwork network(13);
+  TestCaller& caller = Connect(network);
+  const auto stream = caller.Get("/bytes/1000000");
+  BOOST_REQUIRE(stream);
+  BOOST_REQUIRE(
+    network.RunUntil([&] { return network.mMostTaken > 0; }, seconds(5)));
+  network.mFaults.mLoss = 1;
+  network.Run(seconds(5));
+  BOOST_TEST(network.mMostTaken <= QuicLimits{}.mSendBuffer);
+  network.mFaults.mLoss = 0;
+  BOOST_TEST(
+    network.RunUntil([&] { return AllSettled(caller, 1); }, seconds(60)));
+  BOOST_TEST(network.mMostTaken <= QuicLimits{}.mSendBuffer);
+  BOOST_TEST((caller.mOutcomes[*stream].mBody == TestBytes(1000000)));
+}
+
+// Guards against a caller that makes the server hold more of a request's body
+// than the window while its backend server doesn't take it.
+BOOST_AUTO_TEST_CASE(SlowBackend_RequestBodyBounded)
+{
+  FakeNetwork network(14);
+  network.mConsume = false;
+  TestCaller& caller = Connect(network);
+  BOOST_REQUIRE(caller.Post("/hold", TestBytes(500000)));
+  network.Run(seconds(5));
+  BOOST_TEST(network.mBodyBytes > 0);
+  BOOST_TEST(network.mBodyBytes <= QuicLimits{}.mStreamWindow);
+}
+
 // Guards against work that goes on after the caller gave up.
 BOOST_AUTO_TEST_CASE(Cancel_ServerIsTold)
 {
