Admission: flows that got the final GOAWAY stay closed

Cause: when a drain was called off and another began, requests on a flow that had received the final GOAWAY were accepted again. Longer searches of the fault matrix found it (drain on, drain off, drain on). The flows are now remembered until they close; RFC 9114 allows no new requests on them.

--- a/include/snipepost/Admission/ConnectionLimit.h
+++ b/include/snipepost/Admission/ConnectionLimit.h
@@ -28,10 +28,24 @@
     return mFlows.contains(aFlow) || (HasRoom() && mFlows.insert(aFlow).second);
   }
 
-  void Close(FlowId aFlow) { mFlows.erase(aFlow); }
+  void Close(FlowId aFlow)
+  {
+    mFlows.erase(aFlow);
+    mClosing.erase(aFlow);
+  }
+
+  /// The final GOAWAY went out on all open flows. They take no new requests
+  /// even when the drain is called off (RFC 9114, section 5.2).
+  void BeginClosing() { mClosing = mFlows; }
+
+  bool IsClosing(FlowId aFlow) const { return mClosing.contains(aFlow); }
 
   /// Empties the set and returns what was in it.
-  std::set<FlowId> TakeAll() { return std::exchange(mFlows, {}); }
+  std::set<FlowId> TakeAll()
+  {
+    mClosing.clear();
+    return std::exchange(mFlows, {});
+  }
 
   bool Contains(FlowId aFlow) const { return mFlows.contains(aFlow); }
   size_t Count() const { return mFlows.size(); }
@@ -39,6 +53,7 @@
 private:
   size_t mMax;
   std::set<FlowId> mFlows;
+  std::set<FlowId> mClosing;
 };
 
 } // namespace snipepost
--- a/src/Admission/AgentCore.cpp
+++ b/src/Admission/AgentCore.cpp
@@ -135,6 +135,7 @@
     if (mDrain.Current() == DrainState::Phase::Noticed) {
       mEffects.emplace_back(SendShutdownNotice{});
     } else if (mDrain.Current() == DrainState::Phase::Closing) {
+      mConnections.BeginClosing();
       mEffects.emplace_back(SendFinalGoaway{});
     }
   }
--- a/src/Admission/AgentCoreRequests.cpp
+++ b/src/Admission/AgentCoreRequests.cpp
@@ -99,9 +99,11 @@
     return RejectReason::LeaseLapsed;
   }
   const auto phase = mDrain.Current();
+  const bool flowClosing =
+    aEvent.mFlow && mConnections.IsClosing(*aEvent.mFlow);
   const bool closing =
     phase == DrainState::Phase::Closing || phase == DrainState::Phase::Emptying;
-  if (closing && mOptions.mGuards.mDrainRejects) {
+  if ((closing || flowClosing) && mOptions.mGuards.mDrainRejects) {
     return RejectReason::Draining;
   }
   return QueueError(aEvent, aNow);
--- a/tests/Admission/AgentCoreTest.cpp
+++ b/tests/Admission/AgentCoreTest.cpp
@@ -169,6 +169,22 @@
   BOOST_TEST(Has<ReadyToExit>(agent.End(1, BackendOutcome::Answered)));
 }
 
+// Guards against requests on a flow that got the final GOAWAY, when the drain
+// is called off and another one begins.
+BOOST_AUTO_TEST_CASE(P8_DrainCalledOff_ClosingFlowStaysClosed)
+{
+  WarmAgent agent;
+  agent.mCore.OnFlowOpened({ FlowId(1) }, agent.mNow);
+  agent.mCore.OnConfig({ { .mDraining = true } }, agent.mNow);
+  agent.mNow += 1s;
+  agent.mCore.OnConfig({ {} }, agent.mNow);
+  BOOST_TEST(agent.mCore.Load(agent.mNow).mAcceptsFlows);
+  BOOST_TEST(Find<Reject>(agent.Send(1, RequestClass::Query), 1));
+  agent.mCore.OnFlowClosed({ FlowId(1) }, agent.mNow);
+  agent.mCore.OnFlowOpened({ FlowId(1) }, agent.mNow);
+  BOOST_TEST(Find<PassOn>(agent.Send(2, RequestClass::Query), 2));
+}
+
 BOOST_AUTO_TEST_CASE(P4_DomainOut_ClosesEverything)
 {
   WarmAgent agent;
--- a/tests/Matrix/World.h
+++ b/tests/Matrix/World.h
@@ -109,6 +109,8 @@
   Instant mReconnect;
   bool mBackendLeaving = false;
   std::optional<Instant> mLeavingSince;
+  /// Flows on which callers saw the final GOAWAY.
+  std::set<FlowId> mClosing;
   bool mGoaway = false;
 
   Instant mNextHeartbeat;
