--- a/include/snipepost/Admission/AgentCore.h
+++ b/include/snipepost/Admission/AgentCore.h
@@ -113,6 +113,7 @@
   static uint32_t ScopeSeconds(Instant aNow);
   bool SettleByKey(const RequestArrived& aEvent, Instant aNow);
   bool SettleByRecord(const RequestArrived& aEvent);
+  void RelayTo(const RequestArrived& aEvent, Address aAgent);
   bool SettleByScope(const RequestArrived& aEvent, Instant aNow);
   std::optional<RejectReason> AdmissionError(const RequestArrived& aEvent,
                                              Instant aNow) const;
--- a/include/snipepost/Admission/Events.h
+++ b/include/snipepost/Admission/Events.h
@@ -265,6 +265,7 @@
   UnverifiedScope,
   NotStored,
   TooManyDuplicates,
+  TooManyRelays,
   RelayLoop
 };
 
--- a/include/snipepost/Admission/Options.h
+++ b/include/snipepost/Admission/Options.h
@@ -59,6 +59,8 @@
   size_t mMaxKeyBytes = 256;
   /// Duplicates that wait at the same time, over all keys.
   size_t mMaxWaiters = 256;
+  /// Requests that wait for another agent at the same time.
+  size_t mMaxRelays = 256;
   /// How long after its issue a scope may be used for the first time.
   Duration mScopeValidity = std::chrono::minutes(5);
   /// How long a record is kept. Longer than the validity of a scope, so that a
--- a/src/Admission/AgentCoreRequests.cpp
+++ b/src/Admission/AgentCoreRequests.cpp
@@ -1,5 +1,6 @@
 #include <snipepost/Admission/AgentCore.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -73,8 +74,7 @@
     if (!aEvent.mFlow) {
       return unknown(UnknownReason::RelayLoop);
     }
-    mRequests[id] = Request{ .mArrival = aEvent, .mStage = Stage::Relayed };
-    mEffects.emplace_back(Relay{ id, scope.mAgent });
+    RelayTo(aEvent, scope.mAgent);
     return true;
   }
   if (scope.mIncarnation != mOptions.mIncarnation &&
@@ -89,6 +89,23 @@
   return false;
 }
 
+void
+AgentCore::RelayTo(const RequestArrived& aEvent, Address aAgent)
+{
+  const RequestId id = aEvent.mRequest;
+  const auto relays =
+    std::count_if(mRequests.begin(), mRequests.end(), [](const auto& aEntry) {
+      return aEntry.second.mStage == Stage::Relayed;
+    });
+  // Not a rejection: the key may have run at the other agent before.
+  if (static_cast<size_t>(relays) >= mOptions.mIdempotency.mMaxRelays) {
+    mEffects.emplace_back(AnswerUnknown{ id, UnknownReason::TooManyRelays });
+    return;
+  }
+  mRequests[id] = Request{ .mArrival = aEvent, .mStage = Stage::Relayed };
+  mEffects.emplace_back(Relay{ id, aAgent });
+}
+
 std::optional<RejectReason>
 AgentCore::AdmissionError(const RequestArrived& aEvent, Instant aNow) const
 {
--- a/tests/Admission/AgentCoreTest.cpp
+++ b/tests/Admission/AgentCoreTest.cpp
@@ -154,6 +154,22 @@
   BOOST_TEST(Find<Reject>(agent.Send(4, submission, "junk"), 4));
 }
 
+// Guards against callers that fill the memory with relays.
+BOOST_AUTO_TEST_CASE(P6_ManyRelays_TheRestIsUnknown)
+{
+  WarmAgent agent;
+  const KeyScope scope{ { 0x7f000002, 1 }, Incarnation(1), 110 };
+  const std::string key = WriteKeyScope(scope, kKeys) + ".k";
+  for (uint64_t id = 1; id <= 256; ++id) {
+    agent.Send(id, RequestClass::Submission, key);
+  }
+  const auto effects = agent.Send(257, RequestClass::Submission, key);
+  BOOST_TEST(Find<AnswerUnknown>(effects, 257));
+  agent.mCore.OnRelayFinished({ RequestId(1) }, agent.mNow);
+  const auto next = agent.Send(258, RequestClass::Submission, key);
+  BOOST_TEST(Find<Relay>(next, 258));
+}
+
 BOOST_AUTO_TEST_CASE(P9_Shutdown_WaitsForRequestsInProgress)
 {
   WarmAgent agent;
--- a/tests/Matrix/AgentMatrixTest.cpp
+++ b/tests/Matrix/AgentMatrixTest.cpp
@@ -1,6 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <cstdlib>
+#include <map>
+#include <set>
 #include <sstream>
 #include <string>
 
@@ -94,4 +96,79 @@
   }
 }
 
+// Schedules that broke a rule once, as RapidCheck shrank them.
+BOOST_AUTO_TEST_CASE(P3_P8_FaultsFoundBefore)
+{
+  using A = Action;
+  const std::vector<Schedule> schedules{
+    // An agent restarted beside a leaving server began the drain anew.
+    { { A::BackendLeaves },
+      { A::AdvanceLong },
+      { A::AgentRestart },
+      { A::RelayedIn } },
+    // Refusals by a leaving server didn't lower the limit.
+    { { A::Advance, 17, 3 },
+      { A::SilentCold },
+      { A::Advance, 19, 11 },
+      { A::Advance, 46 },
+      { A::Burst },
+      { A::Burst },
+      { A::BackendLeaves } },
+    // A late boot ID made the reports of the real life count as late.
+    { { A::BackendRestart },
+      { A::Advance, 63 },
+      { A::AgentRestart },
+      { A::Burst, 30, 10 },
+      { A::Burst },
+      { A::LateLoad },
+      { A::Burst },
+      { A::BackendLeaves } },
+    // A flow that got the final GOAWAY was used again in a second drain.
+    { { A::Request },
+      { A::DrainOn },
+      { A::AdvanceLong },
+      { A::DrainOff },
+      { A::DrainOn },
+      { A::Duplicate } },
+  };
+  for (const Schedule& schedule : schedules) {
+    BOOST_TEST(Describe(Judge(World({}).Run(schedule))) == "");
+  }
+}
+
+// Guards against a generator that no longer reaches the cases that the
+// checkers judge.
+BOOST_AUTO_TEST_CASE(SchedulesReachEveryOutcome)
+{
+  BOOST_TEST_MESSAGE("seed " << Seed());
+  std::map<CallerOutcome, uint32_t> outcomes;
+  uint32_t retries = 0;
+  uint32_t exits = 0;
+  rc::Random random(Seed());
+  for (int i = 0; i < 1000; ++i) {
+    World world({});
+    const auto& records = world.Run(AnySchedule()(random.split()).value());
+    std::set<RequestId> seen;
+    for (const CallerRecord& caller : records.mCallers) {
+      ++outcomes[caller.mOutcome];
+    }
+    for (const JournalEntry& entry : records.mJournal) {
+      retries += seen.insert(entry.mRequest).second ? 0 : 1;
+    }
+    exits += records.mExited ? 1 : 0;
+  }
+  for (const auto outcome : { CallerOutcome::Answered,
+                              CallerOutcome::Stored,
+                              CallerOutcome::Rejected,
+                              CallerOutcome::Unknown,
+                              CallerOutcome::FlowGone,
+                              CallerOutcome::Relayed }) {
+    BOOST_TEST_MESSAGE(int(outcome) << ": " << outcomes[outcome]);
+    BOOST_TEST(outcomes[outcome] > 200U, "outcome " << int(outcome));
+  }
+  BOOST_TEST_MESSAGE("retries " << retries << ", exits " << exits);
+  BOOST_TEST(retries > 50U);
+  BOOST_TEST(exits > 50U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
