--- a/tests/Admission/AgentCoreTest.cpp
+++ b/tests/Admission/AgentCoreTest.cpp
@@ -154,6 +154,22 @@
   BOOST_TEST(Find<Reject>(agent.Send(4, submission, "junk"), 4));
 }
 
+// Guards against callers that fill the memory with relays.
+BOOST_AUTO_TEST_CASE(P6_ManyRelays_TheRestIsUnknown)
+{
+  WarmAgent agent;
+  const KeyScope scope{ { 0x7f000002, 1 }, Incarnation(1), 110 };
+  const std::string key = WriteKeyScope(scope, kKeys) + ".k";
+  for (uint64_t id = 1; id <= 256; ++id) {
+    agent.Send(id, RequestClass::Submission, key);
+  }
+  const auto effects = agent.Send(257, RequestClass::Submission, key);
+  BOOST_TEST(Find<AnswerUnknown>(effects, 257));
+  agent.mCore.OnRelayFinished({ RequestId(1) }, agent.mNow);
+  const auto next = agent.Send(258, RequestClass::Submission, key);
+  BOOST_TEST(Find<Relay>(next, 258));
+}
+
 BOOST_AUTO_TEST_CASE(P9_Shutdown_WaitsForRequestsInProgress)
 {
   WarmAgent agent;
@@ -169,6 +185,22 @@
   BOOST_TEST(Has<ReadyToExit>(agent.End(1, BackendOutcome::Answered)));
 }
 
+// Guards against requests on a flow that got the final GOAWAY, when the drain
+// is called off and another one begins.
+BOOST_AUTO_TEST_CASE(P8_DrainCalledOff_ClosingFlowStaysClosed)
+{
+  WarmAgent agent;
+  agent.mCore.OnFlowOpened({ FlowId(1) }, agent.mNow);
+  agent.mCore.OnConfig({ { .mDraining = true } }, agent.mNow);
+  agent.mNow += 1s;
+  agent.mCore.OnConfig({ {} }, agent.mNow);
+  BOOST_TEST(agent.mCore.Load(agent.mNow).mAcceptsFlows);
+  BOOST_TEST(Find<Reject>(agent.Send(1, RequestClass::Query), 1));
+  agent.mCore.OnFlowClosed({ FlowId(1) }, agent.mNow);
+  agent.mCore.OnFlowOpened({ FlowId(1) }, agent.mNow);
+  BOOST_TEST(Find<PassOn>(agent.Send(2, RequestClass::Query), 2));
+}
+
 BOOST_AUTO_TEST_CASE(P4_DomainOut_ClosesEverything)
 {
   WarmAgent agent;
