--- /dev/null
+++ b/tools/cluster.sh
@@ -0,0 +1,117 @@
+# Functions that start the processes of a small deployment on loopback, for
+# tools/demo.sh and the process tests. The caller sets `bin` and `work`.
+# Ports start at $base; every process writes to a log file in $work.
+base=${base:-20000}
+key=${key:-000102030405060708090a0b0c0d0e0f}
+entries=${entries:-3}
+pids=()
+declare -A pid_of
+
+platform=127.0.0.1:$((base + 1))
+fabric=127.0.0.1:$((base + 2))
+fabric_control=127.0.0.1:$((base + 3))
+service_1=127.0.0.1:$((base + 11))
+service_2=127.0.0.1:$((base + 12))
+
+# run NAME COMMAND... starts a process in the background under a name.
+run() {
+  local name=$1
+  shift
+  "$@" >"$work/$name.out" 2>>"$work/$name.log" &
+  pid_of[$name]=$!
+  pids+=("$!")
+}
+
+# await_ready NAME... waits until the processes have printed "ready".
+await_ready() {
+  local name
+  for name in "$@"; do
+    for _ in $(seq 200); do
+      grep -q '^ready' "$work/$name.out" 2>/dev/null && break
+      sleep 0.05
+    done
+    grep -q '^ready' "$work/$name.out" || {
+      echo "$name did not start:" >&2
+      cat "$work/$name.log" >&2
+      return 1
+    }
+  done
+}
+
+entry_address() { echo "127.0.0.1:$((base + 100 + $1))"; }
+agent_address() { echo "127.0.0.1:$((base + 200 + $1))"; }
+backend_address() { echo "127.0.0.1:$((base + 300 + $1))"; }
+backend_control() { echo "127.0.0.1:$((base + 400 + $1))"; }
+
+entry_list() {
+  local list="" i
+  for i in $(seq "$entries"); do list+="${list:+,}$(entry_address "$i")"; done
+  echo "$list"
+}
+
+start_platform() {
+  run platform "$bin/platform" --listen "$platform" \
+    --journal "$work/platform.journal"
+}
+
+start_fabric() {
+  run fabric "$bin/fabric" --listen "$fabric" --control "$fabric_control" \
+    --services "$service_1,$service_2" --entries "$(entry_list)" "$@"
+}
+
+# start_entry NUMBER
+start_entry() {
+  run "entry$1" "$bin/snipepostd" --role entry --deployment demo \
+    --listen "$(entry_address "$1")" --store "$platform" \
+    --fabric "$fabric" --peers "$(entry_list)" --domain $((($1 - 1) % 3 + 1)) \
+    --key "$key"
+}
+
+# start_backend NUMBER [FLAG...] starts the stand-in for a backend server.
+start_backend() {
+  local i=$1
+  shift
+  run "backend$i" "$bin/backend" --listen "$(backend_address "$i")" \
+    --control "$(backend_control "$i")" --journal "$work/backend$i.journal" \
+    --seed "$i" "$@"
+}
+
+# start_agent NUMBER SERVICE
+start_agent() {
+  run "agent$1" "$bin/snipepostd" --role agent --deployment demo \
+    --listen "$(agent_address "$1")" --store "$platform" \
+    --peers "$(entry_list)" --domain $((($1 - 1) % 3 + 1)) \
+    --service "$2" --backend "$(backend_address "$1")" --key "$key"
+}
+
+ctl() {
+  "$bin/snipepostctl" --deployment demo --store "$platform" --by demo "$@"
+}
+
+# submit_document creates the two services and three failure domains.
+submit_document() {
+  local file=$work/document.json
+  ctl --file "$file" domain add pl-a pl-central 1
+  ctl --file "$file" domain add pl-b pl-central 2
+  ctl --file "$file" domain add pl-c pl-central 3
+  ctl --file "$file" service add sizing-desk id=1 address="$service_1" \
+    rampSeconds="${ramp:-1}"
+  ctl --file "$file" service add pattern-store id=2 address="$service_2" \
+    class=bulk rampSeconds="${ramp:-1}"
+  ctl --file "$file" --no-instances submit
+}
+
+# stop_all ends every process that was started here, by its id.
+stop_all() {
+  local pid
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do
+    for _ in $(seq 60); do
+      kill -0 "$pid" 2>/dev/null || break
+      sleep 0.05
+    done
+    kill -9 "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
+  pids=()
+}
--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Installs, builds, then runs a small deployment on loopback: fabric, platform,
+# 3 entry instances, 10 backend servers with their agents in 3 failure
+# domains, and about 20 s of load. Prints the load tool's table.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/install.sh
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build -- -j "$(nproc)"
+bin=$PWD/build/bin
+work=$(mktemp -d)
+source tools/cluster.sh
+trap 'stop_all; rm -rf "$work"' EXIT
+
+start_platform
+start_fabric --delay-ms 3
+await_ready platform fabric
+names=()
+for i in $(seq "$entries"); do start_entry "$i"; names+=("entry$i"); done
+for i in $(seq 10); do start_backend "$i"; names+=("backend$i"); done
+for i in $(seq 7); do start_agent "$i" 1; names+=("agent$i"); done
+for i in 8 9 10; do start_agent "$i" 2; names+=("agent$i"); done
+await_ready "${names[@]}"
+submit_document
+sleep 4
+
+"$bin/callers" --service "$service_1" --bulk-service "$service_2" \
+  --seconds "${seconds:-20}" --submissions 40 --queries 120 --bulk 4 \
+  --sessions 1 --flow-life 5 \
+  --journals "$work"/backend*.journal --expect-clean
