--- a/include/snipepost/Document/Document.h
+++ b/include/snipepost/Document/Document.h
@@ -91,7 +91,6 @@
 {
   DomainId mDomain;
 
-  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads <=>.
   auto operator<=>(const DomainTarget&) const = default;
 };
 
@@ -100,7 +99,6 @@
   ServiceId mService;
   Address mAddress;
 
-  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads <=>.
   auto operator<=>(const BackendTarget&) const = default;
 };
 
--- a/include/snipepost/Document/Order.h
+++ b/include/snipepost/Document/Order.h
@@ -13,7 +13,6 @@
   Generation mGeneration;
   SubmissionId mSubmission;
 
-  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads <=>.
   auto operator<=>(const DocumentOrder&) const = default;
 };
 
--- a/tests/Ctl/SubmissionTest.cpp
+++ b/tests/Ctl/SubmissionTest.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <iostream>
+
 #include <snipepost/Ctl/Submission.h>
 #include <snipepost/Document/Codec.h>
 
@@ -43,7 +45,6 @@
 SubmissionResult
 Run(FakeStore& aStore, SubmissionPlan aPlan = Plan())
 {
-  BOOST_TEST_MESSAGE("seed " << kSeed);
   Submission submission(std::move(aPlan), kSeed);
   return RunSubmission(submission, aStore, [](Duration) {});
 }
@@ -82,6 +83,13 @@
 
 } // namespace
 
+struct PrintedSeed
+{
+  PrintedSeed() { std::cout << "SubmissionTest seed=" << kSeed << '\n'; }
+};
+
+BOOST_TEST_GLOBAL_FIXTURE(PrintedSeed);
+
 BOOST_AUTO_TEST_SUITE(SubmissionTest)
 
 BOOST_AUTO_TEST_CASE(CopiesTheAuditEntryBeforeTheDocumentIsReplaced)
--- a/tests/Document/CodecPropertyTest.cpp
+++ b/tests/Document/CodecPropertyTest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <iostream>
 #include <sstream>
 
 #include <rapidcheck.h>
@@ -65,7 +66,7 @@
 void
 Check(const char* aName, Property aProperty)
 {
-  BOOST_TEST_MESSAGE("seed " << kSeed);
+  std::cout << aName << " seed=" << kSeed << '\n';
   rc::detail::TestParams params;
   params.seed = kSeed;
   params.maxSuccess = 400;
