Admission: a drain without flows needs no warning

Cause: an agent restarted while the backend server was leaving and out of reach queued a request that another agent relayed, and passed it on during the second between notice and final GOAWAY. Only open flows are warned; requests that merely queue are rejected as not run.

The shutdown test sent a request on a flow that it had never opened, which the agent now treats as having nobody to warn. It opens the flow first; its checks are the same.

--- a/src/Admission/AgentCore.cpp
+++ b/src/Admission/AgentCore.cpp
@@ -150,8 +150,9 @@
 {
   if (mConfig.mDraining || mBackend.IsLeaving() || mShutdown) {
     // Without flows there is nobody to warn. An agent that starts beside a
-    // leaving backend server must not accept work for another second.
-    mDrain.Start(aNow, mConnections.Count() > 0 || !mRequests.empty());
+    // leaving backend server must not accept work for another second, nor pass
+    // on what other agents relayed to it before it knew.
+    mDrain.Start(aNow, mConnections.Count() > 0);
   } else {
     mDrain.Stop();
   }
--- a/tests/Admission/AgentCoreTest.cpp
+++ b/tests/Admission/AgentCoreTest.cpp
@@ -173,6 +173,7 @@
 BOOST_AUTO_TEST_CASE(P9_Shutdown_WaitsForRequestsInProgress)
 {
   WarmAgent agent;
+  agent.mCore.OnFlowOpened({ FlowId(1) }, agent.mNow);
   agent.Send(1, RequestClass::Query);
   const auto effects = agent.mCore.OnShutdown({}, agent.mNow);
   BOOST_TEST(Has<SendShutdownNotice>(effects));
--- a/tests/Matrix/AgentMatrixTest.cpp
+++ b/tests/Matrix/AgentMatrixTest.cpp
@@ -90,7 +90,7 @@
       name << Step{ Action{ first } } << " then " << Step{ Action{ second } };
       CheckSchedules(name.str(),
                      ScheduleWith(Action{ first }, Action{ second }),
-                     Seed() + first * kActions + second,
+                     Seed() + uint64_t{ first } * kActions + second,
                      60);
     }
   }
@@ -106,6 +106,12 @@
       { A::AdvanceLong },
       { A::AgentRestart },
       { A::RelayedIn } },
+    // The same, with a request that was relayed before the agent knew.
+    { { A::BackendLeaves },
+      { A::AdvanceLong },
+      { A::ConnectionBreak },
+      { A::AgentRestart },
+      { A::RelayedIn } },
     // Refusals by a leaving server didn't lower the limit.
     { { A::Advance, 17, 3 },
       { A::SilentCold },
