Accept flows again after a drain is called off

Cause: before its first document an agent counted as draining, so its endpoint announced the shutdown to every later connection: 387 of 387 flows got a GOAWAY and no request ran. Ruled out: rejections by limits; every agent was idle. Change: before the first document the failure domain counts as out, and ServerEndpoint can end its shutdown state when a drain is called off.

--- a/include/snipepost/Quic/ServerEndpoint.h
+++ b/include/snipepost/Quic/ServerEndpoint.h
@@ -157,6 +157,11 @@
   /// it is closed by Close() or by its caller.
   void SendGoaway();
 
+  /// Ends the state that SendShutdownNotice() and SendGoaway() began, for new
+  /// connections: those that got a GOAWAY keep it, as HTTP/3 can't take it
+  /// back.
+  void Reopen();
+
   /// Closes a connection with CONNECTION_CLOSE.
   void Close(ConnectionHandle aFlow, Http3Error aError);
   void CloseAll(Http3Error aError);
--- a/src/Daemon/AgentInstance.cpp
+++ b/src/Daemon/AgentInstance.cpp
@@ -31,7 +31,7 @@
 ClosedConfig()
 {
   AgentConfig config;
-  config.mDraining = true;
+  config.mDomainOut = true;
   return config;
 }
 
@@ -454,6 +454,7 @@
 AgentInstance::Perform(const SendShutdownNotice&)
 {
   mEndpoint.SendShutdownNotice();
+  mAnnouncedDrain = true;
 }
 
 void
@@ -504,7 +505,9 @@
   if (!config) {
     return;
   }
-  AgentConfig agent = ClosedConfig();
+  AgentConfig agent;
+  // A service that was removed drains like a backend server that was.
+  agent.mDraining = true;
   const auto service = config->mServices.find(own.mService);
   if (service != config->mServices.end()) {
     agent.mSlots = service->second.mSlots;
@@ -534,8 +537,12 @@
   if (state == InstanceState::Left || state == InstanceState::Draining) {
     return;
   }
-  mControl.SetState(mCore.Load(aNow).mAcceptsFlows ? InstanceState::Ready
-                                                   : InstanceState::Starting);
+  const bool accepts = mCore.Load(aNow).mAcceptsFlows;
+  if (accepts && mAnnouncedDrain) {
+    mEndpoint.Reopen();
+    mAnnouncedDrain = false;
+  }
+  mControl.SetState(accepts ? InstanceState::Ready : InstanceState::Starting);
 }
 
 void
--- a/src/Daemon/AgentInstance.h
+++ b/src/Daemon/AgentInstance.h
@@ -138,6 +138,7 @@
   bool mBulkService = false;
   bool mPumpScheduled = false;
   bool mLeaving = false;
+  bool mAnnouncedDrain = false; ///< New flows would get a GOAWAY.
 };
 
 } // namespace snipepost
--- a/src/Quic/ServerEndpoint.cpp
+++ b/src/Quic/ServerEndpoint.cpp
@@ -120,6 +120,12 @@
   mImpl->Shutdown(ShutdownStage::Notice);
 }
 
+void
+ServerEndpoint::Reopen()
+{
+  mImpl->Reopen();
+}
+
 void
 ServerEndpoint::SendGoaway()
 {
--- a/src/Quic/ServerEndpointImpl.h
+++ b/src/Quic/ServerEndpointImpl.h
@@ -62,6 +62,7 @@
   void OnTimer(Instant aNow);
   void Flush(Instant aNow);
   void Shutdown(ShutdownStage aStage);
+  void Reopen() { mStage = ShutdownStage::None; }
   void Close(ConnectionHandle aFlow, Http3Error aError);
   void CloseAll(Http3Error aError);
   size_t ConnectionCount() const { return mLive; }
