Test the stand-ins and report the new boot at once

Right after a restart /health still showed the previous boot ID for up to 10 ms, because reports always came from the sampled history. Reports without lag now show the current state, and a boot starts a new history.

Also tests that GOAWAY's last ID separates Refused from Broken.

--- a/tests/Http2/ClientServerTest.cpp
+++ b/tests/Http2/ClientServerTest.cpp
@@ -278,6 +278,40 @@
   BOOST_TEST(RunUntil(mContext, [&] { return done; }));
 }
 
+// Guards against a stream that GOAWAY declares as not processed, but that is
+// reported as possibly processed, and the reverse.
+BOOST_AUTO_TEST_CASE(P6_GoAway_RefusesOnlyStreamsAboveItsLastId)
+{
+  using namespace std::string_literals;
+  asio::ip::tcp::acceptor acceptor(mContext,
+                                   { asio::ip::address_v4::loopback(), 0 });
+  Client client(mContext, { kAnyPort.mIp, acceptor.local_endpoint().port() });
+  std::vector<Result> results;
+  for (int i = 0; i < 2; ++i) {
+    client.Collect({}, kLimit, [&](Result aResult, const Response&) {
+      results.push_back(aResult);
+    });
+  }
+  asio::ip::tcp::socket socket(mContext);
+  bool accepted = false;
+  acceptor.async_accept(socket,
+                        [&](const asio::error_code&) { accepted = true; });
+  BOOST_REQUIRE(
+    RunUntil(mContext, [&] { return accepted && client.Connected(); }));
+  // Both requests are on the wire once the client's second HEADERS arrived;
+  // the poll lets it flush what it submitted on connecting.
+  RunReady(mContext);
+  const std::string settings = "\0\0\0\4\0\0\0\0\0"s;
+  const std::string goAway =
+    "\0\0\x08\7\0\0\0\0\0"s + "\0\0\0\1"s + "\0\0\0\0"s;
+  asio::write(socket, asio::buffer(settings + goAway));
+  BOOST_REQUIRE(RunUntil(mContext, [&] { return results.size() == 1; }));
+  BOOST_TEST(results[0] == Result::Refused);
+  socket.close();
+  BOOST_REQUIRE(RunUntil(mContext, [&] { return results.size() == 2; }));
+  BOOST_TEST(results[1] == Result::Broken);
+}
+
 BOOST_AUTO_TEST_CASE(CollectCutsOffAnEndlessBody)
 {
   mHandler = [](const ServerRequest&, const ResponderPointer& aResponder) {
--- a/tools/backend/Backend.cpp
+++ b/tools/backend/Backend.cpp
@@ -62,6 +62,8 @@
           std::to_string(++mBoots);
   mBootTime = Now();
   mCapacity.TurnCold(mBootTime, Duration::zero());
+  // A new process knows nothing of the previous one's state.
+  mReports.assign(1, CurrentReport());
   WriteJournal("booted", nullptr);
 }
 
@@ -167,8 +169,8 @@
     200, { { "content-type", "application/json" } }, json::serialize(body));
 }
 
-void
-Backend::Sample()
+Report
+Backend::CurrentReport() const
 {
   const Instant now = Now();
   const char* status = "ok";
@@ -177,8 +179,22 @@
   } else if (now < mBootTime + mOptions.mColdTime) {
     status = "starting";
   }
-  mReports.push_back({ now, mBoot, status, InFlight(), mCapacity.Warmth(now) });
-  while (mReports.size() > 1 && mReports[1].mAt + mOptions.mReportLag <= now) {
+  return { now, mBoot, status, InFlight(), mCapacity.Warmth(now) };
+}
+
+Report
+Backend::LaggedReport() const
+{
+  return mOptions.mReportLag == Duration::zero() ? CurrentReport()
+                                                 : mReports.front();
+}
+
+void
+Backend::Sample()
+{
+  mReports.push_back(CurrentReport());
+  const Instant shown = mReports.back().mAt - mOptions.mReportLag;
+  while (mReports.size() > 1 && mReports[1].mAt <= shown) {
     mReports.pop_front();
   }
   mSampleTimer.expires_after(kSampleInterval);
@@ -189,12 +205,6 @@
   });
 }
 
-Report
-Backend::LaggedReport() const
-{
-  return mReports.front();
-}
-
 void
 Backend::WriteJournal(std::string_view aEvent, const Job* aJob)
 {
--- a/tools/backend/Backend.h
+++ b/tools/backend/Backend.h
@@ -140,6 +140,7 @@
   void Shed(const JobPointer& aJob, std::string_view aEvent);
   void AnswerReport(std::string_view aPath, const ResponderPointer& aResponder);
   void Sample();
+  Report CurrentReport() const;
   Report LaggedReport() const;
   size_t InFlight() const { return mRunning + mWaiting.size(); }
   void WriteJournal(std::string_view aEvent, const Job* aJob);
