--- a/tools/backend/Backend.cpp
+++ b/tools/backend/Backend.cpp
@@ -211,6 +211,7 @@
   const Instant now = Now();
   json::object line{ { "event", aEvent },
                      { "ms", NowMs() },
+                     { "server", ToString(mListen) },
                      { "boot", mBoot },
                      { "inFlight", InFlight() },
                      { "warmth", mCapacity.Warmth(now) },
