--- a/include/snipepost/Document/Effective.h
+++ b/include/snipepost/Document/Effective.h
@@ -41,6 +41,15 @@
 EffectiveConfig
 EffectiveAt(const Document& aDocument, WallTime aNow);
 
+/// Applies one planned change, whatever its time.
+void
+ApplyChange(const PlannedChange& aChange, EffectiveConfig& aConfig);
+
+/// The planned changes after aFrom and not after aUntil, in the order in which
+/// they come into force.
+std::vector<PlannedChange>
+ChangesBetween(const Document& aDocument, WallTime aFrom, WallTime aUntil);
+
 /// Time of the first planned change after aNow.
 std::optional<WallTime>
 NextChangeAfter(const Document& aDocument, WallTime aNow);
--- a/src/Document/Effective.cpp
+++ b/src/Document/Effective.cpp
@@ -30,21 +30,27 @@
   }
 };
 
+} // namespace
+
+void
+ApplyChange(const PlannedChange& aChange, EffectiveConfig& aConfig)
+{
+  std::visit(Apply{ aConfig, aChange.mAction }, aChange.mTarget);
+}
+
 std::vector<PlannedChange>
-DueChanges(const Document& aDocument, WallTime aNow)
+ChangesBetween(const Document& aDocument, WallTime aFrom, WallTime aUntil)
 {
-  std::vector<PlannedChange> due;
+  std::vector<PlannedChange> changes;
   for (const auto& change : aDocument.mPlanned) {
-    if (change.mAt <= aNow) {
-      due.push_back(change);
+    if (change.mAt > aFrom && change.mAt <= aUntil) {
+      changes.push_back(change);
     }
   }
-  std::ranges::stable_sort(due, {}, &PlannedChange::mAt);
-  return due;
+  std::ranges::stable_sort(changes, {}, &PlannedChange::mAt);
+  return changes;
 }
 
-} // namespace
-
 bool
 EffectiveConfig::IsIn(DomainId aDomain) const
 {
@@ -84,8 +90,8 @@
   for (const auto& rule : aDocument.mBackends) {
     config.mRules[{ rule.mService, rule.mAddress }] = rule.mState;
   }
-  for (const auto& change : DueChanges(aDocument, aNow)) {
-    std::visit(Apply{ config, change.mAction }, change.mTarget);
+  for (const auto& change : ChangesBetween(aDocument, WallTime::min(), aNow)) {
+    ApplyChange(change, config);
   }
   return config;
 }
--- a/src/Document/Holding.cpp
+++ b/src/Document/Holding.cpp
@@ -36,11 +36,16 @@
 
   void Run()
   {
-    Step(mContext.mNow, "");
-    auto at = NextChangeAfter(mDocument, mContext.mNow);
-    while (at && *at <= mContext.mHorizon) {
-      Step(*at, PointerOf(*at));
-      at = NextChangeAfter(mDocument, *at);
+    EffectiveConfig config = EffectiveAt(mDocument, mContext.mNow);
+    Step(config, mContext.mNow, "");
+    const auto changes =
+      ChangesBetween(mDocument, mContext.mNow, mContext.mHorizon);
+    for (size_t i = 0; i < changes.size(); ++i) {
+      ApplyChange(changes[i], config);
+      const WallTime at = changes[i].mAt;
+      if (i + 1 == changes.size() || changes[i + 1].mAt != at) {
+        Step(config, at, PointerOf(at));
+      }
     }
   }
 
@@ -53,11 +58,12 @@
            std::to_string(found - mDocument.mPlanned.begin());
   }
 
-  void Step(WallTime aAt, const std::string& aPointer)
+  void Step(const EffectiveConfig& aConfig,
+            WallTime aAt,
+            const std::string& aPointer)
   {
-    const EffectiveConfig config = EffectiveAt(mDocument, aAt);
-    auto supplies =
-      mContext.mEndpoints ? CountAnnounced(config, aAt) : BoundByRules(config);
+    auto supplies = mContext.mEndpoints ? CountAnnounced(aConfig, aAt)
+                                        : BoundByRules(aConfig);
     for (size_t i = 0; i < mDocument.mServices.size(); ++i) {
       const Service& service = mDocument.mServices[i];
       const std::string text = Shortage(service, supplies[service.mId]);
