--- a/tests/tools/callers/JournalTest.cpp
+++ b/tests/tools/callers/JournalTest.cpp
@@ -9,8 +9,8 @@
 void
 AddStart(Journal& aJournal, const std::string& aKey, const std::string& aServer)
 {
-  aJournal.AddLine(R"({"event":"start","key":")" + aKey + R"(","server":")" +
-                   aServer + R"("})");
+  aJournal.AddLine(R"({"event":"started","idempotency-key":")" + aKey +
+                   R"(","server":")" + aServer + R"("})");
 }
 
 } // namespace
@@ -23,7 +23,8 @@
   Journal journal;
   AddStart(journal, "a", "s1");
   AddStart(journal, "b", "s1");
-  journal.AddLine(R"({"event":"end","key":"b","server":"s1"})");
+  journal.AddLine(
+    R"({"event":"finished","idempotency-key":"b","server":"s1"})");
   BOOST_TEST(journal.DoubledKeys() == 0);
   AddStart(journal, "a", "s2");
   BOOST_TEST(journal.DoubledKeys() == 1);
--- a/tools/callers/Journal.cpp
+++ b/tools/callers/Journal.cpp
@@ -46,11 +46,11 @@
     return;
   }
   const json::object& entry = parsed.get_object();
-  if (Text(entry, "event") != "start") {
+  if (Text(entry, "event") != "started") {
     return;
   }
   ++mByServer[Text(entry, "server")];
-  const std::string key = Text(entry, "key");
+  const std::string key = Text(entry, "idempotency-key");
   if (!key.empty()) {
     ++mByKey[key];
   }
--- a/tools/common/BulkBytes.h
+++ b/tools/common/BulkBytes.h
@@ -39,7 +39,8 @@
 public:
   explicit BulkBytes(uint64_t aSeed)
     : mSeed(aSeed)
-  {}
+  {
+  }
 
   /// The next aCount bytes.
   std::string Next(size_t aCount)
