Send no probes and exchanges into a failure domain that is out

Cause: probes went on to instances of a failure domain after operators took it out, so the domain still received packets. Ruled out: stopping its instances' own requests; they must learn of the return and ask by themselves. Change: health and exchange leave out instances of such domains; an entry instance there reports that it is not ready, so the fabric passes it over.

--- a/include/snipepost/Membership/Blackboard.h
+++ b/include/snipepost/Membership/Blackboard.h
@@ -83,6 +83,11 @@
   /// AnnouncementController.
   std::map<Address, Instant> mProbers;
 
+  /// Failure domains that the document takes out. Instances there get neither
+  /// probes nor exchanges; they ask others for the document themselves.
+  /// Written through MembershipCore.
+  std::set<DomainId> mDomainsOut;
+
   /// Written by DocumentController.
   HeldDocument mDocument;
 
@@ -123,6 +128,11 @@
 size_t
 OwnRank(const Blackboard& aBoard, uint64_t aKey);
 
+/// True when other instances may send packets to this one unasked: its failure
+/// domain is in.
+bool
+MayContact(const Blackboard& aBoard, const InstanceRecord& aRecord);
+
 /// Key of a text or an address for RanksBefore.
 uint64_t
 RankKey(std::string_view aText);
--- a/include/snipepost/Membership/MembershipCore.h
+++ b/include/snipepost/Membership/MembershipCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <vector>
 
 #include <snipepost/Membership/AnnouncementController.h>
@@ -31,6 +32,9 @@
   /// Announces a new state of this instance.
   void SetState(InstanceState aState);
 
+  /// Tells which failure domains the configuration in force takes out.
+  void SetDomainsOut(std::set<DomainId> aDomains);
+
   const Blackboard& Board() const { return mBoard; }
 
   /// True while this instance holds its lease and no later life replaced it.
--- a/src/Daemon/ControlPlane.cpp
+++ b/src/Daemon/ControlPlane.cpp
@@ -309,6 +309,13 @@
   }
   mConfig = EffectiveAt(*mDocument, WallNow());
   mNextChange = NextChangeAfter(*mDocument, WallNow());
+  std::set<DomainId> out;
+  for (const auto& [id, domain] : mConfig->mDomains) {
+    if (domain.mState == DomainState::Out) {
+      out.insert(id);
+    }
+  }
+  mCore.SetDomainsOut(std::move(out));
   mOwner.OnViewChanged();
 }
 
--- a/src/Daemon/ControlServer.cpp
+++ b/src/Daemon/ControlServer.cpp
@@ -186,8 +186,12 @@
 void
 ControlServer::Ready(http2::ServerRequest, ResponderPtr aResponder)
 {
-  const bool ready = mReady && mControl.Config().has_value();
-  aResponder->Respond(ready ? 200 : 503, {}, ready ? "ready\n" : "leaving\n");
+  const auto& config = mControl.Config();
+  // In a failure domain that is out, the fabric must send nothing here.
+  const bool ready =
+    mReady && config && config->IsIn(mControl.Board().mOwn.mDomain);
+  aResponder->Respond(
+    ready ? 200 : 503, {}, ready ? "ready\n" : "not in service\n");
 }
 
 void
--- a/src/Daemon/ControlServer.h
+++ b/src/Daemon/ControlServer.h
@@ -39,7 +39,8 @@
   /// Serves POST /v1/relay; without a handler it is answered with 404.
   void SetRelayHandler(RelayHandler aHandler) { mRelay = std::move(aHandler); }
 
-  /// What GET /v1/ready answers: 200, or 503 when this instance leaves.
+  /// What GET /v1/ready answers: 200, or 503 when this instance leaves. It is
+  /// 503 too without a document and in a failure domain that is out.
   void SetReady(bool aReady) { mReady = aReady; }
 
 private:
--- a/src/Membership/Blackboard.cpp
+++ b/src/Membership/Blackboard.cpp
@@ -39,6 +39,12 @@
   return rank;
 }
 
+bool
+MayContact(const Blackboard& aBoard, const InstanceRecord& aRecord)
+{
+  return !aBoard.mDomainsOut.contains(aRecord.mDomain);
+}
+
 uint64_t
 RankKey(std::string_view aText)
 {
--- a/src/Membership/ExchangeController.cpp
+++ b/src/Membership/ExchangeController.cpp
@@ -200,7 +200,8 @@
   };
   for (const auto& [address, member] : aBoard.mMembers) {
     if (member.mRecord.mRole == InstanceRole::Entry &&
-        member.mRecord.mState != InstanceState::Left) {
+        member.mRecord.mState != InstanceState::Left &&
+        MayContact(aBoard, member.mRecord)) {
       consider(address);
     }
   }
--- a/src/Membership/HealthController.cpp
+++ b/src/Membership/HealthController.cpp
@@ -21,7 +21,7 @@
   const InstanceRecord& record = aMember.mRecord;
   return record.mRole == InstanceRole::Entry &&
          record.mState != InstanceState::Left &&
-         record.mRegion == aTarget.mRegion &&
+         record.mRegion == aTarget.mRegion && MayContact(aBoard, record) &&
          record.mAddress != aTarget.mAddress &&
          !aBoard.mSuspects.contains(record.mAddress);
 }
@@ -117,7 +117,8 @@
   std::map<Address, Target> targets;
   mProbers.clear();
   for (const auto& [address, member] : aBoard.mMembers) {
-    if (member.mRecord.mState == InstanceState::Left) {
+    if (member.mRecord.mState == InstanceState::Left ||
+        !MayContact(aBoard, member.mRecord)) {
       continue;
     }
     auto& probers = mProbers[address];
--- a/src/Membership/MembershipCore.cpp
+++ b/src/Membership/MembershipCore.cpp
@@ -91,6 +91,16 @@
   mBoard.mUrgentExchanges = std::max(mBoard.mUrgentExchanges, 3U);
 }
 
+void
+MembershipCore::SetDomainsOut(std::set<DomainId> aDomains)
+{
+  if (mBoard.mDomainsOut == aDomains) {
+    return;
+  }
+  mBoard.mDomainsOut = std::move(aDomains);
+  ++mBoard.mRevision; // Probes are assigned anew.
+}
+
 bool
 MembershipCore::MayAct(Instant aNow) const
 {
--- a/tests/Membership/FakeFleet.h
+++ b/tests/Membership/FakeFleet.h
@@ -120,11 +120,15 @@
              static_cast<uint16_t>(1024 + (aIndex & 0x3fffU)) };
   }
 
-  MembershipCore& Start(size_t aIndex, InstanceRole aRole, uint64_t aLife = 1)
+  MembershipCore& Start(size_t aIndex,
+                        InstanceRole aRole,
+                        uint64_t aLife = 1,
+                        DomainId aDomain = DomainId(1))
   {
     InstanceRecord own;
     own.mRole = aRole;
     own.mAddress = At(aIndex);
+    own.mDomain = aDomain;
     own.mService = ServiceId(aRole == InstanceRole::Agent ? 1 : 0);
     own.mState = InstanceState::Ready;
     own.mVersion = { Incarnation(aLife), 0 };
@@ -140,6 +144,7 @@
   void Resume(size_t aIndex) { mPaused.erase(At(aIndex)); }
   MembershipCore& Core(size_t aIndex) { return *mCores.at(At(aIndex)); }
   Instant Now() const { return mNow; }
+  uint64_t ProbesTo(size_t aIndex) { return mProbes[At(aIndex)]; }
 
   std::map<Address, std::unique_ptr<MembershipCore>>& Cores() { return mCores; }
 
@@ -225,6 +230,7 @@
   void Perform(const Address& aFrom, const SendProbe& aProbe)
   {
     const Address target = aProbe.mTarget;
+    ++mProbes[target];
     if (mCut(aFrom, target)) {
       return;
     }
@@ -331,6 +337,7 @@
   Instant mNow = Instant(std::chrono::seconds(1000));
   std::map<Address, std::unique_ptr<MembershipCore>> mCores;
   std::set<Address> mPaused;
+  std::map<Address, uint64_t> mProbes;
   std::multimap<Instant, Message> mQueue;
   std::deque<Watch> mWatches;
 };
--- a/tests/Membership/FleetTest.cpp
+++ b/tests/Membership/FleetTest.cpp
@@ -267,6 +267,39 @@
   BOOST_TEST(mostWrites <= 19U);
 }
 
+// Guards against probes that keep reaching a failure domain that is out, and
+// against a domain that can't come back because nobody speaks to it.
+BOOST_AUTO_TEST_CASE(P4_DomainOutAndBack_NoProbesAndDocumentStillArrives)
+{
+  Fleet fleet(kSeed);
+  fleet.mOptions.mSeeds = { Fleet::At(0) };
+  StartEntries(fleet, 3);
+  fleet.Start(1000, InstanceRole::Agent);
+  fleet.Start(1001, InstanceRole::Agent, 1, DomainId(2));
+  fleet.Start(3, InstanceRole::Entry, 1, DomainId(2));
+  fleet.Run(10s);
+  for (const auto& [address, core] : fleet.Cores()) {
+    core->SetDomainsOut({ DomainId(2) });
+  }
+  fleet.Run(1s);
+  const uint64_t agent = fleet.ProbesTo(1001);
+  const uint64_t entry = fleet.ProbesTo(3);
+  const uint64_t others = fleet.ProbesTo(1000);
+  fleet.Run(60s);
+  BOOST_TEST(fleet.ProbesTo(1001) == agent);
+  BOOST_TEST(fleet.ProbesTo(3) == entry);
+  BOOST_TEST(fleet.ProbesTo(1000) > others);
+  Submit(fleet, 1);
+  fleet.RunUntil(kInForce, [&] { return fleet.AllHold(1); });
+  BOOST_TEST(fleet.AllHold(1));
+  for (const auto& [address, core] : fleet.Cores()) {
+    core->SetDomainsOut({});
+  }
+  fleet.Run(3s);
+  BOOST_TEST(fleet.ProbesTo(1001) > agent);
+  BOOST_TEST(fleet.ProbesTo(3) > entry);
+}
+
 // Guards against regions that disagree for good after they lost each other.
 BOOST_AUTO_TEST_CASE(P10_RegionsApart_ViewsAndDocumentConvergeAfterwards)
 {
