Report start-up failures as LEAF results

Cause: a certificate that could not be used was reported without its file or reason, and faults that no single setting shows were hidden by others.

--- a/src/Daemon/DaemonSettings.cpp
+++ b/src/Daemon/DaemonSettings.cpp
@@ -1,5 +1,6 @@
 #include <src/Daemon/DaemonSettings.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace snipepost {
@@ -35,18 +36,47 @@
 
 namespace {
 
-template<typename Number>
-void
-CheckRange(const char* aName,
-           uint64_t aValue,
-           std::vector<std::string>& aErrors)
+/// Collects faults, at most one for each setting: a value that could not be
+/// parsed would otherwise be reported as missing too.
+class Faults
 {
-  constexpr uint64_t kMax = std::numeric_limits<Number>::max();
-  if (aValue > kMax) {
-    aErrors.push_back("--" + std::string(aName) + " must be at most " +
-                      std::to_string(kMax));
+public:
+  explicit Faults(std::vector<std::string>& aErrors)
+    : mErrors(aErrors)
+  {
+  }
+
+  bool Reported(const std::string& aName) const
+  {
+    const std::string start = "--" + aName + " ";
+    return std::any_of(
+      mErrors.begin(), mErrors.end(), [&](const std::string& aError) {
+        return aError.starts_with(start);
+      });
+  }
+
+  void Require(const std::string& aName, bool aHolds, const std::string& aText)
+  {
+    if (!aHolds && !Reported(aName)) {
+      mErrors.push_back("--" + aName + " " + aText);
+    }
   }
-}
+
+  template<typename Number>
+  void AtMost(const std::string& aName, uint64_t aValue)
+  {
+    constexpr uint64_t kMax = std::numeric_limits<Number>::max();
+    Require(aName, aValue <= kMax, "must be at most " + std::to_string(kMax));
+  }
+
+  void Positive(const std::string& aName, std::chrono::milliseconds aTime)
+  {
+    Require(aName, aTime.count() > 0, "must be above 0");
+  }
+
+private:
+  std::vector<std::string>& mErrors;
+};
 
 } // namespace
 
@@ -124,37 +154,30 @@
 CheckTogether(const DaemonSettings& aSettings,
               std::vector<std::string>& aErrors)
 {
+  Faults faults(aErrors);
   const bool agent = aSettings.mRole == InstanceRole::Agent;
-  CheckRange<uint8_t>("domain", aSettings.mDomain, aErrors);
-  CheckRange<uint8_t>("region", aSettings.mRegion, aErrors);
-  CheckRange<uint16_t>("service", aSettings.mService, aErrors);
-  if (!aSettings.mKey) {
-    aErrors.emplace_back("--key is missing");
-  }
-  if (aSettings.mKeySlot > 1) {
-    aErrors.emplace_back("--key-slot must be 0 or 1");
-  }
-  if (agent && aSettings.mService == 0) {
-    aErrors.emplace_back("--service is missing: an agent serves one service");
-  }
-  if (agent && !aSettings.mBackend) {
-    aErrors.emplace_back("--backend is missing: an agent needs one");
-  }
-  if (!agent && aSettings.mFabric.empty()) {
-    aErrors.emplace_back("--fabric is missing: an entry instance needs one");
-  }
-  if (aSettings.mCertificate.empty() != aSettings.mPrivateKey.empty()) {
-    aErrors.emplace_back("--certificate and --private-key go together");
-  }
-  const auto positive = [&](const char* aName,
-                            std::chrono::milliseconds aTime) {
-    if (aTime.count() == 0) {
-      aErrors.push_back("--" + std::string(aName) + " must be above 0");
-    }
-  };
-  positive("lease-ms", aSettings.mLease);
-  positive("probe-interval-ms", aSettings.mProbeInterval);
-  positive("exchange-interval-ms", aSettings.mExchangeInterval);
+  const bool entry = !agent && !faults.Reported("role");
+  faults.AtMost<uint8_t>("domain", aSettings.mDomain);
+  faults.AtMost<uint8_t>("region", aSettings.mRegion);
+  faults.AtMost<uint16_t>("service", aSettings.mService);
+  faults.Require("key", aSettings.mKey.has_value(), "is missing");
+  faults.Require("key-slot", aSettings.mKeySlot <= 1, "must be 0 or 1");
+  faults.Require("service",
+                 !agent || aSettings.mService > 0,
+                 "is missing: an agent serves one service");
+  faults.Require("backend",
+                 !agent || aSettings.mBackend.has_value(),
+                 "is missing: an agent needs one");
+  faults.Require("fabric",
+                 !entry || !aSettings.mFabric.empty(),
+                 "is missing: an entry instance needs one");
+  faults.Require("certificate",
+                 aSettings.mCertificate.empty() ==
+                   aSettings.mPrivateKey.empty(),
+                 "and --private-key go together");
+  faults.Positive("lease-ms", aSettings.mLease);
+  faults.Positive("probe-interval-ms", aSettings.mProbeInterval);
+  faults.Positive("exchange-interval-ms", aSettings.mExchangeInterval);
 }
 
 } // namespace snipepost
--- a/src/Daemon/Main.cpp
+++ b/src/Daemon/Main.cpp
@@ -19,7 +19,7 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitBadSettings = 2;
 
-std::optional<Credentials>
+Result<Credentials>
 LoadCredentials(const DaemonSettings& aSettings)
 {
   if (!aSettings.mCertificate.empty()) {
@@ -62,7 +62,7 @@
   return 0;
 }
 
-int
+Result<int>
 Run(const DaemonSettings& aSettings)
 {
   asio::io_context context(1);
@@ -79,14 +79,8 @@
     announce();
     return RunUntilExit(context, entry);
   }
-  const auto credentials = LoadCredentials(aSettings);
-  if (!credentials) {
-    LogLine(LogChannel::Transport,
-            LogLevel::Error,
-            "certificate or private key can't be used");
-    return kExitFailure;
-  }
-  AgentInstance agent(context, aSettings, *credentials, onExit);
+  BOOST_LEAF_AUTO(credentials, LoadCredentials(aSettings));
+  AgentInstance agent(context, aSettings, credentials, onExit);
   announce();
   return RunUntilExit(context, agent);
 }
@@ -104,9 +98,7 @@
     std::cout << HelpText("snipepostd", schema.Specs());
     return 0;
   }
-  if (report.mErrors.empty()) {
-    CheckTogether(settings, report.mErrors);
-  }
+  CheckTogether(settings, report.mErrors);
   if (report.mRequest == SettingsRequest::Check) {
     std::cout << CheckText(report);
     return report.mErrors.empty() ? 0 : kExitBadSettings;
@@ -122,10 +114,17 @@
     return kExitFailure;
   }
   StartLog(settings.mLogFormat, settings.mLogLevel);
-  try {
-    return Run(settings);
-  } catch (const std::system_error& error) {
-    LogLine(LogChannel::Daemon, LogLevel::Error, error.what());
+  const auto fail = [](const std::string& aReason) {
+    LogLine(LogChannel::Daemon, LogLevel::Error, aReason);
     return kExitFailure;
-  }
+  };
+  // Asio reports an address that can't be bound by an exception.
+  return leaf::try_catch(
+    [&] {
+      return leaf::try_handle_all(
+        [&] { return Run(settings); },
+        [&](const CertificateError& aError) { return fail(aError.Text()); },
+        [&] { return fail("unexpected error"); });
+    },
+    [&](const std::system_error& aError) { return fail(aError.what()); });
 }
--- a/src/Quic/ConnectionSetup.cpp
+++ b/src/Quic/ConnectionSetup.cpp
@@ -45,7 +45,7 @@
   const gnutls_datum_t alpn{ name.data(), name.size() };
   return gnutls_priority_set_direct(mTls, kPriority, nullptr) == 0 &&
          gnutls_credentials_set(
-           mTls, GNUTLS_CRD_CERTIFICATE, aCredentials.Get()) == 0 &&
+           mTls, GNUTLS_CRD_CERTIFICATE, aCredentials.Handle()) == 0 &&
          gnutls_alpn_set_protocols(mTls, &alpn, 1, GNUTLS_ALPN_MANDATORY) == 0;
 }
 
--- a/src/Quic/Credentials.cpp
+++ b/src/Quic/Credentials.cpp
@@ -65,6 +65,13 @@
 
 } // namespace
 
+std::string
+CertificateError::Text() const
+{
+  const std::string reason = gnutls_strerror(mCode);
+  return mFile.empty() ? reason : mFile + ": " + reason;
+}
+
 Credentials::Credentials(Native aNative)
   : mNative(aNative, gnutls_certificate_free_credentials)
 {
@@ -80,33 +87,34 @@
   return Credentials(native);
 }
 
-std::optional<Credentials>
+Result<Credentials>
 Credentials::LoadPem(const std::string& aChainFile, const std::string& aKeyFile)
 {
   Credentials credentials = Allocate();
-  if (gnutls_certificate_set_x509_key_file(credentials.Get(),
-                                           aChainFile.c_str(),
-                                           aKeyFile.c_str(),
-                                           GNUTLS_X509_FMT_PEM) < 0) {
-    return std::nullopt;
+  const int code = gnutls_certificate_set_x509_key_file(credentials.Handle(),
+                                                        aChainFile.c_str(),
+                                                        aKeyFile.c_str(),
+                                                        GNUTLS_X509_FMT_PEM);
+  if (code < 0) {
+    return leaf::new_error(CertificateError{ code, aChainFile });
   }
   return credentials;
 }
 
-std::optional<Credentials>
+Result<Credentials>
 Credentials::MakeSelfSigned(const std::string& aName)
 {
   KeyPtr key = MakeKey();
   gnutls_x509_crt_t certificate = nullptr;
   if (!key || gnutls_x509_crt_init(&certificate) != 0) {
-    return std::nullopt;
+    return leaf::new_error(CertificateError{ GNUTLS_E_MEMORY_ERROR, {} });
   }
   CertificatePtr owned(certificate, gnutls_x509_crt_deinit);
   Credentials credentials = Allocate();
   if (!FillCertificate(certificate, key.get(), aName) ||
       gnutls_certificate_set_x509_key(
-        credentials.Get(), &certificate, 1, key.get()) < 0) {
-    return std::nullopt;
+        credentials.Handle(), &certificate, 1, key.get()) < 0) {
+    return leaf::new_error(CertificateError{ GNUTLS_E_CERTIFICATE_ERROR, {} });
   }
   return credentials;
 }
--- a/tests/Quic/CredentialsTest.cpp
+++ b/tests/Quic/CredentialsTest.cpp
@@ -14,7 +14,15 @@
 // Guards against a server that starts without a certificate.
 BOOST_AUTO_TEST_CASE(RefusesMissingFiles)
 {
-  BOOST_TEST(!Credentials::LoadPem("/nonexistent/c.pem", "/nonexistent/k.pem"));
+  const std::string reason = leaf::try_handle_all(
+    []() -> Result<std::string> {
+      BOOST_LEAF_CHECK(
+        Credentials::LoadPem("/nonexistent/c.pem", "/nonexistent/k.pem"));
+      return std::string("loaded");
+    },
+    [](const CertificateError& aError) { return aError.Text(); },
+    [] { return std::string("unknown error"); });
+  BOOST_TEST(reason.starts_with("/nonexistent/c.pem: "));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
