--- a/cmake/Snipepost.cmake
+++ b/cmake/Snipepost.cmake
@@ -20,11 +20,15 @@
                                                    -Werror)
 target_link_libraries(snipepost_options INTERFACE Threads::Threads)
 if(SNIPEPOST_SANITIZE)
+  # GCC's group "undefined" covers enumerations and bool, but not the two
+  # checks of floating-point numbers.
+  set(sanitizers
+      address,undefined,float-divide-by-zero,float-cast-overflow)
   target_compile_options(
-    snipepost_options INTERFACE -fsanitize=address,undefined
-                                -fno-sanitize-recover=undefined
+    snipepost_options INTERFACE -fsanitize=${sanitizers}
+                                -fno-sanitize-recover=all
                                 -fno-omit-frame-pointer)
-  target_link_options(snipepost_options INTERFACE -fsanitize=address,undefined)
+  target_link_options(snipepost_options INTERFACE -fsanitize=${sanitizers})
 endif()
 
 # snipepost_module(<Name> SOURCES <file>... LIBS <target>...) adds the library
--- a/src/Ctl/Deployment.cpp
+++ b/src/Ctl/Deployment.cpp
@@ -43,7 +43,8 @@
 }
 
 /// Parses the announcement `endpoints/<service>/<ip>:<port>`; the service is
-/// its name or ID.
+/// its name or ID. An agent that announces no slots has those of its service:
+/// the agent learns their number from this document only.
 std::optional<AnnouncedEndpoint>
 ParseEndpoint(const Document& aDocument, const ObjectRecord& aObject)
 {
@@ -63,7 +64,7 @@
   }
   return AnnouncedEndpoint{ { service->mId, *address },
                             DomainId(static_cast<uint8_t>(domain)),
-                            slots };
+                            slots == 0 ? service->mSlots : slots };
 }
 
 } // namespace
--- a/src/Ctl/History.cpp
+++ b/src/Ctl/History.cpp
@@ -76,6 +76,12 @@
                             OrderOf(*instance.mDocument) != OrderOf(*highest));
     same = same && !behind;
   }
+  // A store that was rolled back looks like any other to whoever asks no
+  // instance.
+  if (!view.AnyInstance()) {
+    lines.emplace_back("no instance answered; --instance names instances");
+    same = false;
+  }
   if (!view.mStored && !view.AnyInstance()) {
     const bool absent = view.mOutcome == StoreOutcome::Absent;
     return LinesReport(
--- a/src/Ctl/Options.cpp
+++ b/src/Ctl/Options.cpp
@@ -52,7 +52,8 @@
 
 Exit codes:
   0  done; accepted; in force; no difference
-  1  diff found differences, or status found instances behind the store
+  1  diff found differences, or status found instances behind the store or
+     no instance that answers
   2  wrong usage
   3  the document or the edit is invalid
   4  conflict: the document was changed by somebody else; nothing was written
--- a/src/Daemon/DaemonSettings.cpp
+++ b/src/Daemon/DaemonSettings.cpp
@@ -1,5 +1,6 @@
 #include <src/Daemon/DaemonSettings.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace snipepost {
@@ -35,18 +36,40 @@
 
 namespace {
 
-template<typename Number>
-void
-CheckRange(const char* aName,
-           uint64_t aValue,
-           std::vector<std::string>& aErrors)
+/// Collects faults of settings that could be read.
+class Checker
 {
-  constexpr uint64_t kMax = std::numeric_limits<Number>::max();
-  if (aValue > kMax) {
-    aErrors.push_back("--" + std::string(aName) + " must be at most " +
-                      std::to_string(kMax));
+public:
+  explicit Checker(std::vector<std::string>& aErrors)
+    : mErrors(aErrors)
+    , mUnreadable(aErrors)
+  {
   }
-}
+
+  void Require(bool aHolds, const std::string& aName, const char* aText)
+  {
+    const std::string flag = "--" + aName + " ";
+    const bool reported =
+      std::ranges::any_of(mUnreadable, [&](const std::string& aError) {
+        return aError.starts_with(flag);
+      });
+    if (!aHolds && !reported) {
+      mErrors.push_back(flag + aText);
+    }
+  }
+
+  template<typename Number>
+  void RequireRange(const char* aName, uint64_t aValue)
+  {
+    constexpr uint64_t kMax = std::numeric_limits<Number>::max();
+    const std::string text = "must be at most " + std::to_string(kMax);
+    Require(aValue <= kMax, aName, text.c_str());
+  }
+
+private:
+  std::vector<std::string>& mErrors;
+  const std::vector<std::string> mUnreadable;
+};
 
 } // namespace
 
@@ -121,40 +144,33 @@
 }
 
 void
-CheckTogether(const DaemonSettings& aSettings,
-              std::vector<std::string>& aErrors)
+CheckTogether(const DaemonSettings& aSettings, SettingsReport& aReport)
 {
   const bool agent = aSettings.mRole == InstanceRole::Agent;
-  CheckRange<uint8_t>("domain", aSettings.mDomain, aErrors);
-  CheckRange<uint8_t>("region", aSettings.mRegion, aErrors);
-  CheckRange<uint16_t>("service", aSettings.mService, aErrors);
-  if (!aSettings.mKey) {
-    aErrors.emplace_back("--key is missing");
-  }
-  if (aSettings.mKeySlot > 1) {
-    aErrors.emplace_back("--key-slot must be 0 or 1");
-  }
-  if (agent && aSettings.mService == 0) {
-    aErrors.emplace_back("--service is missing: an agent serves one service");
-  }
-  if (agent && !aSettings.mBackend) {
-    aErrors.emplace_back("--backend is missing: an agent needs one");
-  }
-  if (!agent && aSettings.mFabric.empty()) {
-    aErrors.emplace_back("--fabric is missing: an entry instance needs one");
-  }
-  if (aSettings.mCertificate.empty() != aSettings.mPrivateKey.empty()) {
-    aErrors.emplace_back("--certificate and --private-key go together");
-  }
-  const auto positive = [&](const char* aName,
-                            std::chrono::milliseconds aTime) {
-    if (aTime.count() == 0) {
-      aErrors.push_back("--" + std::string(aName) + " must be above 0");
-    }
-  };
-  positive("lease-ms", aSettings.mLease);
-  positive("probe-interval-ms", aSettings.mProbeInterval);
-  positive("exchange-interval-ms", aSettings.mExchangeInterval);
+  Checker check(aReport.mErrors);
+  check.RequireRange<uint8_t>("domain", aSettings.mDomain);
+  check.RequireRange<uint8_t>("region", aSettings.mRegion);
+  check.RequireRange<uint16_t>("service", aSettings.mService);
+  check.Require(aSettings.mKey.has_value(), "key", "is missing");
+  check.Require(aSettings.mKeySlot <= 1, "key-slot", "must be 0 or 1");
+  check.Require(!agent || aSettings.mService != 0,
+                "service",
+                "is missing: an agent serves one service");
+  check.Require(
+    !agent || aSettings.mBackend, "backend", "is missing: an agent needs one");
+  check.Require(agent || !aSettings.mFabric.empty(),
+                "fabric",
+                "is missing: an entry instance needs one");
+  check.Require(aSettings.mCertificate.empty() == aSettings.mPrivateKey.empty(),
+                "certificate",
+                "and --private-key go together");
+  check.Require(aSettings.mLease.count() != 0, "lease-ms", "must be above 0");
+  check.Require(aSettings.mProbeInterval.count() != 0,
+                "probe-interval-ms",
+                "must be above 0");
+  check.Require(aSettings.mExchangeInterval.count() != 0,
+                "exchange-interval-ms",
+                "must be above 0");
 }
 
 } // namespace snipepost
--- a/src/Daemon/DaemonSettings.h
+++ b/src/Daemon/DaemonSettings.h
@@ -48,9 +48,9 @@
 DaemonSchema();
 
 /// Appends the faults that no single setting shows, such as an agent without
-/// a backend server.
+/// a backend server. Says nothing more about settings whose text is already
+/// reported as unreadable.
 void
-CheckTogether(const DaemonSettings& aSettings,
-              std::vector<std::string>& aErrors);
+CheckTogether(const DaemonSettings& aSettings, SettingsReport& aReport);
 
 } // namespace snipepost
--- a/src/Daemon/Main.cpp
+++ b/src/Daemon/Main.cpp
@@ -104,9 +104,7 @@
     std::cout << HelpText("snipepostd", schema.Specs());
     return 0;
   }
-  if (report.mErrors.empty()) {
-    CheckTogether(settings, report.mErrors);
-  }
+  CheckTogether(settings, report);
   if (report.mRequest == SettingsRequest::Check) {
     std::cout << CheckText(report);
     return report.mErrors.empty() ? 0 : kExitBadSettings;
--- a/tests/Admission/KeyScopeTest.cpp
+++ b/tests/Admission/KeyScopeTest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <snipepost/Admission/KeyScope.h>
+#include <snipepost/Base/Random.h>
 
 using namespace snipepost;
 
@@ -53,6 +54,30 @@
   }
 }
 
+// Guards against forged scopes, and against reads outside a header's text.
+BOOST_AUTO_TEST_CASE(MutatedAndRandomKeysAreRefused)
+{
+  constexpr uint64_t kSeed = 61;
+  BOOST_TEST_MESSAGE("seed " << kSeed);
+  Random random(kSeed);
+  const std::string key = WriteKeyScope(kScope, kKeys) + ".order-1";
+  for (int round = 0; round < 20000; ++round) {
+    std::string text(random.Below(80), '\0');
+    for (char& c : text) {
+      c = static_cast<char>(random.Below(256));
+    }
+    BOOST_REQUIRE(!ParseIdempotencyKey(text, kKeys).mScope);
+    std::string mutated = key;
+    const uint64_t place = random.Below(kKeyScopeLength);
+    mutated[place] = static_cast<char>(random.Below(256));
+    mutated.resize(random.Below(mutated.size() + 1));
+    if (!key.starts_with(mutated)) {
+      BOOST_REQUIRE(!ParseIdempotencyKey(mutated, kKeys).mScope);
+    }
+    ParseKeyScope(mutated, kKeys);
+  }
+}
+
 // Guards against a replaced secret that makes old keys look unused: the error
 // must differ from that of text that never was a key.
 BOOST_AUTO_TEST_CASE(OtherSecretIsUnverified)
--- a/tests/Ctl/ProgramTest.cpp
+++ b/tests/Ctl/ProgramTest.cpp
@@ -222,6 +222,15 @@
   Gives("status", ExitCode::Ok);
 }
 
+// Guards against a status that calls the store's document the one in force
+// although nobody who holds it was asked.
+BOOST_AUTO_TEST_CASE(P10_StoreOlder_NoInstanceAnswers_StatusIsNotOk)
+{
+  mInstanceUp = false;
+  Gives("status", ExitCode::Different);
+  BOOST_TEST(mOut.str().find("no instance answered") != std::string::npos);
+}
+
 // Guards against writing on top of a rolled back store that nothing shows to
 // be rolled back.
 BOOST_AUTO_TEST_CASE(P10_StoreOlder_NoInstanceAnswers_NothingIsWritten)
@@ -248,6 +257,20 @@
   BOOST_TEST(Stored().mGeneration.Value() == 7U);
 }
 
+// Guards against refusing every change of a service with minEndpoints: agents
+// announce 0 slots because the document tells them the number.
+BOOST_AUTO_TEST_CASE(P10_AgentsAnnounceNoSlots_TheServiceTellsTheirNumber)
+{
+  for (auto& [key, object] : mStore.mObjects) {
+    if (key.starts_with("endpoints/")) {
+      object.mValue.replace(
+        object.mValue.find("\"slots\":4"), 9, "\"slots\":0");
+    }
+  }
+  Gives("validate", ExitCode::Ok);
+  Gives("domain out pl-central-a", ExitCode::Ok);
+}
+
 BOOST_AUTO_TEST_CASE(P1_TooLittleCapacity_IsRefusedWithNumbers)
 {
   Gives("plan add domainOut pl-central-a --at 2026-12-05T01:00:00Z",
--- /dev/null
+++ b/tests/Daemon/CallerRequestsTest.cpp
@@ -0,0 +1,155 @@
+#include <src/Daemon/CallerRequests.h>
+
+#include "tests/Routing/Support.h"
+
+using namespace snipepost;
+using namespace snipepost::test;
+using namespace std::chrono_literals;
+
+BOOST_TEST_DONT_PRINT_LOG_VALUE(snipepost::RequestClass)
+
+namespace {
+
+const Instant kNow{ 1h };
+constexpr std::chrono::milliseconds kDefault = 5s;
+
+CallerRequest
+Make(const std::string& aMethod, HttpFields aFields = {})
+{
+  aFields.push_back({ ":method", aMethod });
+  aFields.push_back({ ":path", "/stock?id=1" });
+  return FromCaller(aFields, "body", kDefault, kNow);
+}
+
+std::vector<std::string>
+Names(const CallerRequest& aRequest)
+{
+  std::vector<std::string> names;
+  for (const auto& header : aRequest.mHeaders) {
+    names.push_back(header.first);
+  }
+  return names;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CallerRequestsTest)
+
+// Guards against a submission that waits behind queries, or that is repeated
+// as if it were idempotent.
+BOOST_AUTO_TEST_CASE(P7_OnlyReadingMethodsAreIdempotent)
+{
+  for (const char* method : { "GET", "HEAD", "OPTIONS" }) {
+    BOOST_TEST(Make(method).mIdempotent, method);
+    BOOST_TEST((ClassOf(Make(method), false) == RequestClass::Query), method);
+  }
+  for (const char* method : { "POST", "PUT", "PATCH", "DELETE", "get", "" }) {
+    BOOST_TEST(!Make(method).mIdempotent, method);
+    BOOST_TEST((ClassOf(Make(method), true) == RequestClass::Submission),
+               method);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LowUrgencyAndBulkServicesMakeBulk)
+{
+  BOOST_TEST((ClassOf(Make("GET"), true) == RequestClass::Bulk));
+  const auto classOf = [](const char* aPriority) {
+    return ClassOf(Make("GET", { { "priority", aPriority } }), false);
+  };
+  for (const char* priority : { "u=5", "u=7", "i, u=6" }) {
+    BOOST_TEST((classOf(priority) == RequestClass::Bulk), priority);
+  }
+  for (const char* priority : { "u=4", "u=0", "u=", "u=8", "i", "" }) {
+    BOOST_TEST((classOf(priority) == RequestClass::Query), priority);
+  }
+}
+
+// Guards against a caller's text that leads to a deadline in the past or to
+// one that never comes.
+BOOST_AUTO_TEST_CASE(DeadlinesAreReadWithinBounds)
+{
+  const auto deadline = [](const char* aText) {
+    return Make("GET", { { "deadline-ms", aText } }).mDeadline - kNow;
+  };
+  BOOST_TEST((deadline("250") == 250ms));
+  BOOST_TEST((deadline("99999999999") == 2h));
+  for (const char* text :
+       { "", "0", "-5", "1.5", "5s", " 5", "99999999999999999999999" }) {
+    BOOST_TEST((deadline(text) == kDefault), text);
+  }
+}
+
+// Guards against a caller that sets fields which only instances may set, and
+// against fields of one hop that reach the backend server.
+BOOST_AUTO_TEST_CASE(P2_FieldsOfOneHopAreDropped)
+{
+  const auto request = Make("POST",
+                            { { ":authority", "desk" },
+                              { "host", "desk" },
+                              { "te", "trailers" },
+                              { "connection", "close" },
+                              { "deadline-ms", "9" },
+                              { "snipepost-path", "/other" },
+                              { "snipepost-tag", "0-1" },
+                              { "idempotency-key", "k" },
+                              { "accept", "a" } });
+  const std::vector<std::string> expected{ "idempotency-key", "accept" };
+  BOOST_TEST(Names(request) == expected, boost::test_tools::per_element());
+  BOOST_TEST(request.mMethod == "POST");
+  BOOST_TEST(request.mPath == "/stock?id=1");
+  BOOST_TEST(request.mBody == "body");
+}
+
+BOOST_AUTO_TEST_CASE(ARelayedRequestIsTheCallersRequest)
+{
+  http2::ServerRequest relay;
+  relay.mMethod = "POST";
+  relay.mPath = "/v1/relay";
+  relay.mBody = "order";
+  relay.mHeaders = { { "snipepost-method", "POST" },
+                     { "snipepost-path", "/orders" },
+                     { "snipepost-tag", "0-1" },
+                     { "deadline-ms", "300" },
+                     { "idempotency-key", "k" } };
+  const auto request = FromRelay(relay, kDefault, kNow);
+  BOOST_REQUIRE(request);
+  BOOST_TEST(request->mMethod == "POST");
+  BOOST_TEST(request->mPath == "/orders");
+  BOOST_TEST(request->mBody == "order");
+  BOOST_TEST(!request->mIdempotent);
+  BOOST_TEST((request->mDeadline == kNow + 300ms));
+  BOOST_TEST(Names(*request) == std::vector<std::string>{ "idempotency-key" },
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(ARelayWithoutMethodOrPathIsRefused)
+{
+  http2::ServerRequest relay;
+  relay.mHeaders = { { "snipepost-method", "POST" } };
+  BOOST_TEST(!FromRelay(relay, kDefault, kNow));
+  relay.mHeaders = { { "snipepost-path", "/orders" } };
+  BOOST_TEST(!FromRelay(relay, kDefault, kNow));
+}
+
+// Guards against crashes on any fields, and against deadlines out of bounds.
+BOOST_AUTO_TEST_CASE(AnyRelayIsRefusedOrReadWithinBounds)
+{
+  CheckProperty(51, [] {
+    http2::ServerRequest relay;
+    relay.mHeaders = *rc::gen::arbitrary<http2::Headers>();
+    for (const char* name :
+         { "snipepost-method", "snipepost-path", "deadline-ms", "priority" }) {
+      if (*rc::gen::arbitrary<bool>()) {
+        relay.mHeaders.emplace_back(name, *rc::gen::arbitrary<std::string>());
+      }
+    }
+    const auto request = FromRelay(relay, kDefault, kNow);
+    if (request) {
+      RC_ASSERT(request->mDeadline > kNow);
+      RC_ASSERT(request->mDeadline <= kNow + 2h);
+      ClassOf(*request, false);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Platform/ObjectCodecTest.cpp
@@ -0,0 +1,87 @@
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <string>
+#include <string_view>
+
+#include <snipepost/Base/Random.h>
+
+#include <src/Platform/ObjectCodec.h>
+
+using namespace snipepost;
+
+namespace {
+
+constexpr uint64_t kSeed = 71;
+
+constexpr std::array<std::string_view, 5> kAnswers{
+  R"({"key":"entries/127.0.0.1:1","version":4,"value":"{\"role\":1}"})",
+  R"({"revision":8,"objects":[{"key":"a","version":4,"value":"b"}]})",
+  R"({"version":18446744073709551615})",
+  R"({"current":7})",
+  R"({"revision":9,"events":[{"key":"a","version":4,"value":null}]})"
+};
+
+constexpr std::array<int, 7> kStatuses{ 200, 404, 412, 429, 503, 0, 999 };
+
+/// One of the answers with some bytes replaced, and sometimes cut off.
+std::string
+AnyAnswer(Random& aRandom)
+{
+  std::string text(kAnswers[aRandom.Below(kAnswers.size())]);
+  for (uint64_t i = aRandom.Below(4); i > 0; --i) {
+    text[aRandom.Below(text.size())] = static_cast<char>(aRandom.Below(256));
+  }
+  if (aRandom.Chance(0.3)) {
+    text.resize(aRandom.Below(text.size() + 1));
+  }
+  return text;
+}
+
+template<typename Read>
+void
+FeedAnswers(Read aRead)
+{
+  BOOST_TEST_MESSAGE("seed " << kSeed);
+  Random random(kSeed);
+  for (int round = 0; round < 10000; ++round) {
+    http2::Response response;
+    response.mStatus = kStatuses[random.Below(kStatuses.size())];
+    response.mBody = AnyAnswer(random);
+    response.mTruncated = random.Chance(0.1);
+    const auto result = aRead(http2::Result::Answered, response);
+    // A body that can't be read is not taken for a good answer.
+    if (response.mBody.empty() || response.mTruncated) {
+      BOOST_REQUIRE((result.mOutcome != ObjectOutcome::Done));
+    }
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ObjectCodecTest)
+
+// Guard against a store whose answers are malformed: no crash, no read outside
+// the text, and no such answer counts as success.
+
+BOOST_AUTO_TEST_CASE(P10_MalformedAnswers_Get)
+{
+  FeedAnswers(ReadGet);
+}
+
+BOOST_AUTO_TEST_CASE(P10_MalformedAnswers_List)
+{
+  FeedAnswers(ReadList);
+}
+
+BOOST_AUTO_TEST_CASE(P10_MalformedAnswers_Write)
+{
+  FeedAnswers(ReadWrite);
+}
+
+BOOST_AUTO_TEST_CASE(P10_MalformedAnswers_Watch)
+{
+  FeedAnswers(ReadWatch);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
