--- a/tests/Daemon/StoredResponseTest.cpp
+++ b/tests/Daemon/StoredResponseTest.cpp
@@ -60,7 +60,10 @@
     const std::string packed = PackResponse(AnyResponse());
     const auto mutated =
       UnpackResponse(Text(Mutate({ packed.begin(), packed.end() })));
-    RC_ASSERT(!mutated || PackResponse(*mutated).size() == packed.size());
+    // RC_ASSERT evaluates both sides of an "or".
+    if (mutated) {
+      RC_ASSERT(PackResponse(*mutated).size() == packed.size());
+    }
   });
 }
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -6,7 +6,8 @@
 cd "$(dirname "$0")/.."
 tools/install.sh
 cmake -S . -B build -G Ninja >/dev/null
-cmake --build build -- -j "$(nproc)"
+cmake --build build --target snipepostd snipepostctl fabric platform backend \
+  callers -- -j "${JOBS:-$(nproc)}"
 bin=$PWD/build/bin
 work=$(mktemp -d)
 source tools/cluster.sh
