callers: compare each ok submission with exactly one start

Cause: a run whose journals showed no start passed, a submission that was answered without having run was not noticed, and the imbalance was taken over the servers of all services that had starts.

--- a/tests/tools/callers/JournalTest.cpp
+++ b/tests/tools/callers/JournalTest.cpp
@@ -58,6 +58,38 @@
   BOOST_TEST(ledger.Contradictions(journal) == 1);
 }
 
+// Guards against a checker that believes an answer nobody computed, or one
+// that was computed twice.
+BOOST_AUTO_TEST_CASE(P7_OkWithoutOneStart_Found)
+{
+  Journal journal;
+  KeyLedger ledger;
+  ledger.Use(1, "a");
+  ledger.Use(2, "b");
+  ledger.ToldOk(1);
+  BOOST_TEST(ledger.OkWithoutOneStart(journal) == 1);
+  AddStart(journal, "a", "s1");
+  BOOST_TEST(ledger.OkWithoutOneStart(journal) == 0);
+  AddStart(journal, "a", "s2");
+  BOOST_TEST(ledger.OkWithoutOneStart(journal) == 1);
+  ledger.ToldOk(3);
+  BOOST_TEST(ledger.OkWithoutOneStart(journal) == 2);
+}
+
+// Guards against an idle server that makes the load look even, and against
+// services of different load that are compared with each other.
+BOOST_AUTO_TEST_CASE(ImbalanceCountsIdleServersOfTheService)
+{
+  Journal journal;
+  journal.AddLine(R"({"event":"booted","server":"s1"})", "x");
+  BOOST_TEST(!journal.Imbalance("x"));
+  journal.AddLine(R"({"event":"started","server":"s2"})", "x");
+  journal.AddLine(R"({"event":"started","server":"s3"})", "y");
+  BOOST_TEST(journal.Imbalance("x").value() == 2);
+  BOOST_TEST(journal.Imbalance("y").value() == 1);
+  BOOST_TEST(journal.AllStarts() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(ImbalanceIsMaxOverMean)
 {
   Journal journal;
--- a/tests/tools/callers/ReportTest.cpp
+++ b/tests/tools/callers/ReportTest.cpp
@@ -38,11 +38,16 @@
   BOOST_TEST((!Report{ lost, std::nullopt }.IsClean()));
   const Statistics fine(start);
   for (const JournalFindings& findings :
-       { JournalFindings{ 1, 0, 0, {}, {} },
-         JournalFindings{ 0, 1, 0, {}, {} },
-         JournalFindings{ 0, 0, 1, {}, {} } }) {
+       { JournalFindings{ 1, 0, 0, 0, 1, {}, {} },
+         JournalFindings{ 0, 1, 0, 0, 1, {}, {} },
+         JournalFindings{ 0, 0, 1, 0, 1, {}, {} },
+         JournalFindings{ 0, 0, 0, 1, 1, {}, {} },
+         JournalFindings{ 0, 0, 0, 0, 0, {}, {} } }) {
     BOOST_TEST((!Report{ fine, findings }.IsClean()));
   }
+  const JournalFindings confirmed{ 0, 0, 0, 0, 1, {}, {} };
+  BOOST_TEST((Report{ fine, confirmed }.IsClean()));
+  BOOST_TEST((!Report{ fine, JournalFindings{} }.HasEvidence()));
 }
 
 // Guards against a second that hides the results of another.
--- a/tools/callers/Journal.cpp
+++ b/tools/callers/Journal.cpp
@@ -24,20 +24,24 @@
 } // namespace
 
 bool
-Journal::AddFile(const std::string& aFile)
+Journal::AddFile(const std::string& aFile, const std::string& aService)
 {
   std::ifstream in(aFile);
   if (!in) {
     return false;
   }
-  for (std::string line; std::getline(in, line);) {
-    AddLine(line);
+  bool hasLines = false;
+  for (std::string line; std::getline(in, line); hasLines = true) {
+    AddLine(line, aService);
+  }
+  if (!hasLines) {
+    mServices[aService][aFile];
   }
   return true;
 }
 
 void
-Journal::AddLine(const std::string& aLine)
+Journal::AddLine(const std::string& aLine, const std::string& aService)
 {
   json::error_code error;
   const json::value parsed = json::parse(aLine, error);
@@ -46,10 +50,11 @@
     return;
   }
   const json::object& entry = parsed.get_object();
+  uint64_t& starts = mServices[aService][Text(entry, "server")];
   if (Text(entry, "event") != "started") {
     return;
   }
-  ++mByServer[Text(entry, "server")];
+  ++starts;
   const std::string key = Text(entry, "idempotency-key");
   if (!key.empty()) {
     ++mByKey[key];
@@ -73,19 +78,35 @@
 }
 
 std::optional<double>
-Journal::Imbalance() const
+Journal::Imbalance(const std::string& aService) const
 {
+  const auto service = mServices.find(aService);
+  if (service == mServices.end()) {
+    return std::nullopt;
+  }
   uint64_t sum = 0;
   uint64_t max = 0;
-  for (const auto& [server, count] : mByServer) {
+  for (const auto& [server, count] : service->second) {
     sum += count;
     max = std::max(max, count);
   }
   if (sum == 0) {
     return std::nullopt;
   }
-  return static_cast<double>(max) * static_cast<double>(mByServer.size()) /
-         static_cast<double>(sum);
+  return static_cast<double>(max) *
+         static_cast<double>(service->second.size()) / static_cast<double>(sum);
+}
+
+uint64_t
+Journal::AllStarts() const
+{
+  uint64_t sum = 0;
+  for (const auto& [service, servers] : mServices) {
+    for (const auto& [server, count] : servers) {
+      sum += count;
+    }
+  }
+  return sum;
 }
 
 void
@@ -107,17 +128,34 @@
 }
 
 uint64_t
-KeyLedger::DoubledRequests(const Journal& aJournal) const
+KeyLedger::Starts(uint64_t aRequest, const Journal& aJournal) const
 {
-  uint64_t doubled = 0;
-  for (const auto& [request, keys] : mByRequest) {
-    uint64_t starts = 0;
-    for (const std::string& key : keys) {
+  const auto keys = mByRequest.find(aRequest);
+  uint64_t starts = 0;
+  if (keys != mByRequest.end()) {
+    for (const std::string& key : keys->second) {
       starts += aJournal.Starts(key);
     }
-    doubled += starts > 1 ? 1 : 0;
   }
-  return doubled;
+  return starts;
+}
+
+uint64_t
+KeyLedger::DoubledRequests(const Journal& aJournal) const
+{
+  return static_cast<uint64_t>(
+    std::count_if(mByRequest.begin(), mByRequest.end(), [&](const auto& aOne) {
+      return Starts(aOne.first, aJournal) > 1;
+    }));
+}
+
+uint64_t
+KeyLedger::OkWithoutOneStart(const Journal& aJournal) const
+{
+  return static_cast<uint64_t>(
+    std::count_if(mOk.begin(), mOk.end(), [&](uint64_t aRequest) {
+      return Starts(aRequest, aJournal) != 1;
+    }));
 }
 
 } // namespace snipepost::tools
--- a/tools/callers/Main.cpp
+++ b/tools/callers/Main.cpp
@@ -13,21 +13,34 @@
 CompareWithJournals(const Options& aOptions, const KeyLedger& aLedger)
 {
   Journal journal;
-  for (const std::string& file : aOptions.mJournals) {
-    if (!journal.AddFile(file)) {
-      std::cerr << "callers: can't read journal " << file << "\n";
-      return std::nullopt;
+  for (const auto& [service, files] :
+       { std::pair("service", &aOptions.mJournals),
+         std::pair("bulk-service", &aOptions.mBulkJournals) }) {
+    for (const std::string& file : *files) {
+      if (!journal.AddFile(file, service)) {
+        std::cerr << "callers: can't read journal " << file << "\n";
+        return std::nullopt;
+      }
     }
   }
   if (journal.BadLines() > 0) {
     std::cerr << "callers: journal lines ignored: " << journal.BadLines()
               << "\n";
   }
-  return JournalFindings{ journal.DoubledKeys(),
-                          aLedger.DoubledRequests(journal),
-                          aLedger.Contradictions(journal),
-                          journal.Imbalance(),
-                          journal.StartsByServer() };
+  JournalFindings findings{ journal.DoubledKeys(),
+                            aLedger.DoubledRequests(journal),
+                            aLedger.Contradictions(journal),
+                            aLedger.OkWithoutOneStart(journal),
+                            journal.AllStarts(),
+                            {},
+                            {} };
+  for (const auto& [service, servers] : journal.Services()) {
+    if (const auto imbalance = journal.Imbalance(service)) {
+      findings.mImbalance[service] = *imbalance;
+    }
+    findings.mStartsByServer.insert(servers.begin(), servers.end());
+  }
+  return findings;
 }
 
 } // namespace
@@ -44,7 +57,7 @@
   Run run(*options);
   run.Execute();
   Report report{ run.Counters(), std::nullopt };
-  if (!options->mJournals.empty()) {
+  if (!options->mJournals.empty() || !options->mBulkJournals.empty()) {
     report.mJournals = CompareWithJournals(*options, run.Ledger());
     if (!report.mJournals) {
       return 2;
@@ -55,5 +68,9 @@
     std::cerr << "callers: can't write " << options->mJsonFile << "\n";
     return 2;
   }
+  if (!report.HasEvidence()) {
+    std::cerr << "callers: the journals show no start\n";
+    return 1;
+  }
   return options->mExpectClean && !report.IsClean() ? 1 : 0;
 }
--- a/tools/callers/Options.cpp
+++ b/tools/callers/Options.cpp
@@ -61,7 +61,10 @@
     "mean seconds until a caller replaces its connection; 0: never")(
     "journals",
     texts(aOptions.mJournals),
-    "journals of the backend servers, read after the run")(
+    "journals of the backend servers of --service, read after the run")(
+    "bulk-journals",
+    texts(aOptions.mBulkJournals),
+    "journals of the backend servers of --bulk-service")(
     "json", po::value(&aOptions.mJsonFile), "file for the results as JSON")(
     "expect-clean",
     po::bool_switch(&aOptions.mExpectClean),
--- a/tools/callers/Options.h
+++ b/tools/callers/Options.h
@@ -32,6 +32,8 @@
   /// Mean time after which a caller replaces its connection; 0 for never.
   Duration mFlowLife{};
   std::vector<std::string> mJournals;
+  /// Journals of the bulk service's backend servers.
+  std::vector<std::string> mBulkJournals;
   std::string mJsonFile;
   bool mExpectClean = false;
 };
--- a/tools/callers/Report.cpp
+++ b/tools/callers/Report.cpp
@@ -78,10 +78,14 @@
 {
   json::object out{ { "doubledKeys", aFindings.mDoubledKeys },
                     { "doubledRequests", aFindings.mDoubledRequests },
-                    { "contradictions", aFindings.mContradictions } };
-  if (aFindings.mImbalance) {
-    out["imbalance"] = *aFindings.mImbalance;
+                    { "contradictions", aFindings.mContradictions },
+                    { "okWithoutOneStart", aFindings.mOkWithoutOneStart },
+                    { "starts", aFindings.mStarts } };
+  json::object imbalance;
+  for (const auto& [service, value] : aFindings.mImbalance) {
+    imbalance[service] = value;
   }
+  out["imbalance"] = std::move(imbalance);
   json::object servers;
   for (const auto& [server, count] : aFindings.mStartsByServer) {
     servers[server] = count;
@@ -123,11 +127,11 @@
   aOut << "journals: doubled keys " << mJournals->mDoubledKeys
        << ", doubled requests " << mJournals->mDoubledRequests
        << ", told-not-run contradicted " << mJournals->mContradictions
-       << ", imbalance ";
-  if (mJournals->mImbalance) {
-    aOut << std::setprecision(3) << *mJournals->mImbalance << "\n";
-  } else {
-    aOut << "none\n";
+       << ", ok without exactly one start " << mJournals->mOkWithoutOneStart
+       << ", starts " << mJournals->mStarts << "\n";
+  for (const auto& [service, value] : mJournals->mImbalance) {
+    aOut << "imbalance of " << service << ": " << std::setprecision(3) << value
+         << "\n";
   }
 }
 
@@ -164,7 +168,8 @@
   return classes && mStatistics.mFlowsLost == 0 &&
          (!mJournals ||
           (mJournals->mDoubledKeys == 0 && mJournals->mDoubledRequests == 0 &&
-           mJournals->mContradictions == 0));
+           mJournals->mContradictions == 0 &&
+           mJournals->mOkWithoutOneStart == 0 && HasEvidence()));
 }
 
 } // namespace snipepost::tools
--- a/tools/callers/Run.cpp
+++ b/tools/callers/Run.cpp
@@ -177,6 +177,9 @@
   }
   aRequest->mDone = true;
   mOpen.erase(aRequest);
+  if (aResult == Result::Ok && aRequest->mClass == RequestClass::Submission) {
+    mLedger.ToldOk(aRequest->mId);
+  }
   mStatistics.OnResult(aRequest->mClass, aResult, aRequest->mIntended, Now());
 }
 
