bench: relay packets through the daemon's entry path

The packet path of EntryInstance had no measurement against a bare UDP relay. It moves unchanged into EntryRelay, which the daemon and the new mode 'bench relay' both run.

--- a/src/Daemon/EntryInstance.cpp
+++ b/src/Daemon/EntryInstance.cpp
@@ -3,8 +3,6 @@
 #include <src/Daemon/MembershipMetrics.h>
 #include <src/Daemon/SnapshotBuilder.h>
 
-#include <snipepost/Routing/ProxyHeader.h>
-
 namespace snipepost {
 
 namespace {
@@ -27,39 +25,18 @@
 
 } // namespace
 
-EntryInstance::Counters::Counters(Registry& aRegistry)
-  : mForwarded(aRegistry.AddCounter("snipepost_forwarded_packets_total",
-                                    "Datagrams forwarded to agents."))
-  , mForwardedById(
-      aRegistry.AddCounter("snipepost_forwarded_by_id_packets_total",
-                           "Datagrams whose connection ID named the agent."))
-  , mReplied(aRegistry.AddCounter("snipepost_reply_packets_total",
-                                  "Datagrams relayed back to callers."))
-  , mBadPackets(
-      aRegistry.AddCounter("snipepost_bad_packets_total",
-                           "Datagrams that were malformed or had a wrong "
-                           "tag."))
-  , mForeignSenders(
-      aRegistry.AddCounter("snipepost_foreign_packets_total",
-                           "Datagrams of senders that are no fabric."))
-  , mUnknownReplies(
-      aRegistry.AddCounter("snipepost_unknown_reply_packets_total",
-                           "Replies of services that the document does not "
-                           "name."))
-{
-}
-
 EntryInstance::EntryInstance(asio::io_context& aContext,
                              const DaemonSettings& aSettings,
                              std::function<void()> aOnExit)
   : mKeys(aSettings.Keys())
   , mFabric(aSettings.mFabric.begin(), aSettings.mFabric.end())
-  , mReturn(aSettings.mFabric.front())
   , mLeaveTime(aSettings.mLeaveTime)
   , mOnExit(std::move(aOnExit))
-  , mCounters(mRegistry)
-  , mRouter(mKeys)
+  , mForeignSenders(
+      mRegistry.AddCounter("snipepost_foreign_packets_total",
+                           "Datagrams of senders that are no fabric."))
   , mSocket(aContext, aSettings.mListen)
+  , mRelay(mKeys, mSocket, mRegistry, aSettings.mFabric.front())
   , mControl(aContext, aSettings, mKeys, *this)
   , mServer(aContext, aSettings.mListen, mKeys, mControl, mRegistry)
   , mLeaveTimer(aContext)
@@ -94,41 +71,10 @@
     return;
   }
   if (!mFabric.contains(aFrom)) {
-    mCounters.mForeignSenders.Add();
-    return;
-  }
-  RelayFromFabric(aBytes);
-}
-
-void
-EntryInstance::RelayFromFabric(std::span<const uint8_t> aBytes)
-{
-  const auto datagram = DecodeProxied(aBytes);
-  if (!datagram || !mSnapshot) {
-    mCounters.mBadPackets.Add(datagram ? 0 : 1);
-    return;
-  }
-  const Address& caller = datagram->mHeader.mSource;
-  const RouteDecision decision = mRouter.Route(
-    *mSnapshot, datagram->mHeader.mDestination, caller, datagram->mPayload);
-  if (!decision.IsForward()) {
-    return;
-  }
-  PacketHeader header;
-  header.mType = PacketType::Forward;
-  header.mService = decision.mService;
-  header.mGeneration = mControl.CurrentGeneration();
-  header.mCaller = caller;
-  header.mCandidates = decision.mCandidates;
-  const size_t length =
-    EncodePacket(header, datagram->mPayload, mSocket.Reserve(), mKeys);
-  if (length == 0) {
-    mCounters.mBadPackets.Add();
+    mForeignSenders.Add();
     return;
   }
-  mSocket.Commit(length, decision.mCandidates[0]);
-  mCounters.mForwarded.Add();
-  mCounters.mForwardedById.Add(decision.mByIssuedId ? 1 : 0);
+  mRelay.RelayFromFabric(aBytes, mControl.CurrentGeneration());
 }
 
 void
@@ -138,7 +84,7 @@
   const auto decoded = DecodePacket(aBytes, mKeys);
   const auto* packet = std::get_if<Packet>(&decoded);
   if (!packet) {
-    mCounters.mBadPackets.Add();
+    mRelay.CountBadPacket();
     return;
   }
   const PacketHeader& header = packet->mHeader;
@@ -147,7 +93,7 @@
   }
   switch (header.mType) {
     case PacketType::Reply:
-      RelayToFabric(*packet);
+      mRelay.RelayToFabric(*packet);
       return;
     case PacketType::Probe:
       SendHeader(PacketType::ProbeReply, aFrom);
@@ -156,34 +102,10 @@
       mControl.Feed(ProbeAnswered{ aFrom });
       return;
     default:
-      mCounters.mBadPackets.Add();
+      mRelay.CountBadPacket();
   }
 }
 
-void
-EntryInstance::RelayToFabric(const Packet& aPacket)
-{
-  const auto service = mServiceAddresses.find(aPacket.mHeader.mService);
-  if (service == mServiceAddresses.end()) {
-    mCounters.mUnknownReplies.Add();
-    return;
-  }
-  const auto proxy =
-    EncodeProxyHeader({ service->second, aPacket.mHeader.mCaller });
-  auto buffer = mSocket.Reserve();
-  const size_t length = proxy.size() + aPacket.mPayload.size();
-  if (length > buffer.size()) {
-    mCounters.mBadPackets.Add();
-    return;
-  }
-  std::copy(proxy.begin(), proxy.end(), buffer.begin());
-  std::copy(aPacket.mPayload.begin(),
-            aPacket.mPayload.end(),
-            buffer.begin() + proxy.size());
-  mSocket.Commit(length, mReturn);
-  mCounters.mReplied.Add();
-}
-
 void
 EntryInstance::SendHeader(PacketType aType, const Address& aTo)
 {
@@ -207,12 +129,14 @@
   if (!config) {
     return;
   }
-  mSnapshot = BuildSnapshot(*config, mControl.Board(), mSnapshot.get());
-  mSnapshots.Add();
-  mServiceAddresses.clear();
+  EntryRelay::ServiceAddresses addresses;
   for (const auto& [id, service] : config->mServices) {
-    mServiceAddresses.emplace(id, service.mAddress);
+    addresses.emplace(id, service.mAddress);
   }
+  mRelay.SetSnapshot(
+    BuildSnapshot(*config, mControl.Board(), mRelay.Snapshot()),
+    std::move(addresses));
+  mSnapshots.Add();
 }
 
 void
@@ -227,11 +151,12 @@
   boost::json::object drops;
   for (size_t i = 1; i < kDropReasonCount; ++i) {
     const auto reason = static_cast<DropReason>(i);
-    drops[DropName(reason)] = mRouter.Count(reason);
+    drops[DropName(reason)] = mRelay.Router().Count(reason);
   }
+  const RoutingSnapshot* snapshot = mRelay.Snapshot();
   return { { "drops", std::move(drops) },
-           { "services", mSnapshot ? mSnapshot->ServiceCount() : 0 },
-           { "routingBytes", mSnapshot ? mSnapshot->MemoryBytes() : 0 } };
+           { "services", snapshot ? snapshot->ServiceCount() : 0 },
+           { "routingBytes", snapshot ? snapshot->MemoryBytes() : 0 } };
 }
 
 } // namespace snipepost
--- a/src/Daemon/EntryInstance.h
+++ b/src/Daemon/EntryInstance.h
@@ -2,19 +2,17 @@
 
 #include <functional>
 #include <memory>
-#include <unordered_map>
 #include <unordered_set>
 
 #include <asio.hpp>
 
 #include <snipepost/Metrics/Registry.h>
 #include <snipepost/Net/DatagramSocket.h>
-#include <snipepost/Routing/EntryRouter.h>
 #include <snipepost/Routing/PacketHeader.h>
-#include <snipepost/Routing/RoutingSnapshot.h>
 
 #include <src/Daemon/ControlPlane.h>
 #include <src/Daemon/ControlServer.h>
+#include <src/Daemon/EntryRelay.h>
 
 namespace snipepost {
 
@@ -41,35 +39,18 @@
   void SendProbePacket(const Address& aTarget) override;
   void OnControlTick(Instant aNow) override;
 
-  void RelayFromFabric(std::span<const uint8_t> aBytes);
   void HandlePeerPacket(std::span<const uint8_t> aBytes, const Address& aFrom);
-  void RelayToFabric(const Packet& aPacket);
   void SendHeader(PacketType aType, const Address& aTo);
   boost::json::object Status() const;
 
-  /// Metrics of the data path.
-  struct Counters
-  {
-    explicit Counters(Registry& aRegistry);
-    Counter& mForwarded;
-    Counter& mForwardedById;
-    Counter& mReplied;
-    Counter& mBadPackets;
-    Counter& mForeignSenders;
-    Counter& mUnknownReplies;
-  };
-
   KeyRing mKeys;
   std::unordered_set<Address> mFabric;
-  Address mReturn;
   std::chrono::milliseconds mLeaveTime;
   std::function<void()> mOnExit;
   Registry mRegistry;
-  Counters mCounters;
-  EntryRouter mRouter;
-  std::shared_ptr<const RoutingSnapshot> mSnapshot;
-  std::unordered_map<ServiceId, Address> mServiceAddresses;
+  Counter& mForeignSenders;
   DatagramSocket mSocket;
+  EntryRelay mRelay;
   ControlPlane mControl;
   ControlServer mServer;
   asio::steady_timer mLeaveTimer;
--- /dev/null
+++ b/src/Daemon/EntryRelay.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <memory>
+#include <unordered_map>
+
+#include <snipepost/Metrics/Registry.h>
+#include <snipepost/Net/DatagramSocket.h>
+#include <snipepost/Routing/EntryRouter.h>
+#include <snipepost/Routing/PacketHeader.h>
+#include <snipepost/Routing/RoutingSnapshot.h>
+
+namespace snipepost {
+
+/// The packet path of an entry instance: datagrams of the fabric to agents,
+/// and the agents' replies back. Used by the daemon and by the relay benchmark.
+class EntryRelay
+{
+public:
+  using ServiceAddresses = std::unordered_map<ServiceId, Address>;
+
+  /// aSocket outlives the relay. Replies go to aReturn, an address of the
+  /// fabric.
+  EntryRelay(const KeyRing& aKeys,
+             DatagramSocket& aSocket,
+             Registry& aRegistry,
+             const Address& aReturn);
+
+  /// Replaces what packets are routed by. Nothing is relayed from the fabric
+  /// before the first call.
+  void SetSnapshot(std::shared_ptr<const RoutingSnapshot> aSnapshot,
+                   ServiceAddresses aAddresses);
+
+  /// Routes one datagram of the fabric and queues it for the agent. aGeneration
+  /// is that of the document in force.
+  void RelayFromFabric(std::span<const uint8_t> aBytes, Generation aGeneration);
+
+  /// Queues the payload of an agent's reply for the fabric.
+  void RelayToFabric(const Packet& aPacket);
+
+  /// Counts a datagram that is malformed or has a wrong tag.
+  void CountBadPacket() { mCounters.mBadPackets.Add(); }
+
+  const EntryRouter& Router() const { return mRouter; }
+  const RoutingSnapshot* Snapshot() const { return mSnapshot.get(); }
+
+private:
+  struct Counters
+  {
+    explicit Counters(Registry& aRegistry);
+    Counter& mForwarded;
+    Counter& mForwardedById;
+    Counter& mReplied;
+    Counter& mBadPackets;
+    Counter& mUnknownReplies;
+  };
+
+  KeyRing mKeys;
+  EntryRouter mRouter;
+  DatagramSocket& mSocket;
+  Address mReturn;
+  Counters mCounters;
+  std::shared_ptr<const RoutingSnapshot> mSnapshot;
+  ServiceAddresses mServiceAddresses;
+};
+
+} // namespace snipepost
--- a/tools/bench/Main.cpp
+++ b/tools/bench/Main.cpp
@@ -17,8 +17,9 @@
   void (*mRun)(Report&);
 };
 
-constexpr std::array<Mode, 1> kModes{ {
+constexpr std::array<Mode, 2> kModes{ {
   { "routing", "decisions, table rebuilds, moved keys, memory", RunRouting },
+  { "relay", "packets through the entry path and a bare relay", RunRelay },
 } };
 
 int
--- a/tools/bench/Modes.h
+++ b/tools/bench/Modes.h
@@ -8,4 +8,8 @@
 void
 RunRouting(Report& aReport);
 
+/// Packets through an entry instance's path against a bare UDP relay.
+void
+RunRelay(Report& aReport);
+
 } // namespace snipepost::bench
