Log instances that become unreachable or reachable

Cause: a change of suspicion moved traffic without a line in the log. Change: one line for each instance that is newly suspected or no longer so.

--- a/src/Daemon/ControlPlane.cpp
+++ b/src/Daemon/ControlPlane.cpp
@@ -322,9 +322,33 @@
 void
 ControlPlane::Perform(const ViewChanged&)
 {
+  LogSuspects();
   mOwner.OnViewChanged();
 }
 
+void
+ControlPlane::LogSuspects()
+{
+  const auto& suspects = Board().mSuspects;
+  for (const Address& address : suspects) {
+    if (!mLoggedSuspects.contains(address)) {
+      LogLine(LogChannel::Membership,
+              LogLevel::Warning,
+              "instance not reachable",
+              { { "address", ToString(address) } });
+    }
+  }
+  for (const Address& address : mLoggedSuspects) {
+    if (!suspects.contains(address)) {
+      LogLine(LogChannel::Membership,
+              LogLevel::Info,
+              "instance reachable again or gone",
+              { { "address", ToString(address) } });
+    }
+  }
+  mLoggedSuspects = suspects;
+}
+
 void
 ControlPlane::LogStoreState()
 {
--- a/src/Daemon/ControlPlane.h
+++ b/src/Daemon/ControlPlane.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <asio.hpp>
@@ -81,6 +82,7 @@
   void OnTick();
   void ApplyConfig();
   void LogStoreState();
+  void LogSuspects();
 
   asio::io_context& mContext;
   ControlOwner& mOwner;
@@ -92,6 +94,7 @@
   std::optional<EffectiveConfig> mConfig;
   std::optional<WallTime> mNextChange;
   bool mStoreReachable = false;
+  std::set<Address> mLoggedSuspects;
 };
 
 } // namespace snipepost
