Keep one back-off class, and make routing and membership testable by parts

Change: Base/Backoff.h serves both; its first bound is the first delay's, so Membership passes twice the old base and the delays stay the same. RoutingGuards, ViewGuards and MembershipGuards switch single rules off, all on by default.

--- a/include/snipepost/Membership/AnnouncementController.h
+++ b/include/snipepost/Membership/AnnouncementController.h
@@ -3,8 +3,8 @@
 #include <optional>
 #include <string>
 
+#include <snipepost/Base/Backoff.h>
 #include <snipepost/Membership/Controller.h>
-#include <snipepost/Membership/RetryDelay.h>
 
 namespace snipepost {
 
@@ -56,7 +56,7 @@
   RecordVersion mWriting;
   Instant mCallStarted;
   Instant mNextCall;
-  RetryDelay mDelay;
+  Backoff mDelay;
   bool mSuperseded = false;
 };
 
--- a/include/snipepost/Membership/Blackboard.h
+++ b/include/snipepost/Membership/Blackboard.h
@@ -55,6 +55,23 @@
   uint64_t mLeaseRenewals = 0;
 };
 
+/// Switches off single rules, so that tests can show that each is needed.
+struct MembershipGuards
+{
+  /// Only a greater document replaces the one held.
+  bool mNeverReverts = true;
+  /// A store that lost the document gets it back.
+  bool mWriteBack = true;
+  /// Suspicion needs most of the probers.
+  bool mVoteMajority = true;
+  /// Peers cannot bring back a record that was dropped.
+  bool mDropMemory = true;
+  /// A later incarnation in the store ends this life's right to act.
+  bool mFencing = true;
+  /// An instance acts only while its lease lasts.
+  bool mLease = true;
+};
+
 /// Settings of the control plane that every controller may read.
 struct MembershipOptions
 {
@@ -64,6 +81,7 @@
   Duration mLease = std::chrono::seconds(90);
   Duration mProbeInterval = std::chrono::milliseconds(500);
   Duration mExchangeInterval = std::chrono::milliseconds(500);
+  MembershipGuards mGuards{};
 };
 
 /// State that the membership controllers share. Each part has one writer; the
--- a/include/snipepost/Membership/DocumentController.h
+++ b/include/snipepost/Membership/DocumentController.h
@@ -5,8 +5,8 @@
 #include <optional>
 #include <string>
 
+#include <snipepost/Base/Backoff.h>
 #include <snipepost/Membership/Controller.h>
-#include <snipepost/Membership/RetryDelay.h>
 
 namespace snipepost {
 
@@ -67,7 +67,7 @@
 
   bool mReading = false;
   Instant mNextRead;
-  RetryDelay mReadDelay;
+  Backoff mReadDelay;
 
   /// When this instance restores the document in a store that has lost it.
   std::optional<Instant> mWriteBackAt;
--- a/include/snipepost/Membership/ViewController.h
+++ b/include/snipepost/Membership/ViewController.h
@@ -4,8 +4,8 @@
 #include <map>
 #include <string>
 
+#include <snipepost/Base/Backoff.h>
 #include <snipepost/Membership/Controller.h>
-#include <snipepost/Membership/RetryDelay.h>
 
 namespace snipepost {
 
@@ -39,7 +39,7 @@
     uint64_t mRevision = 0;
     Instant mNextCall;
     Instant mNextList;
-    RetryDelay mDelay;
+    Backoff mDelay;
   };
 
   void OnTick(Blackboard& aBoard,
--- a/include/snipepost/Routing/EntryRouter.h
+++ b/include/snipepost/Routing/EntryRouter.h
@@ -52,13 +52,25 @@
 FlowKey
 FlowKeyOfCaller(const Address& aCaller, ServiceId aService);
 
+/// Switches off single rules, so that tests can show that each is needed.
+struct RoutingGuards
+{
+  /// An issued ID of another service is dropped.
+  bool mServiceCheck = true;
+  /// Nothing is sent into a failure domain that is out.
+  bool mDomainCheck = true;
+  /// Candidates of the previous table follow those of the current one.
+  bool mPreviousCandidates = true;
+};
+
 /// Decides where an entry instance sends each datagram. Holds no state of
 /// flows. Not thread-safe: Route() counts.
 class EntryRouter
 {
 public:
-  explicit EntryRouter(const KeyRing& aKeys)
+  explicit EntryRouter(const KeyRing& aKeys, const RoutingGuards& aGuards = {})
     : mKeys(aKeys)
+    , mGuards(aGuards)
   {
   }
 
@@ -90,6 +102,7 @@
                     RouteDecision& aDecision) const;
 
   KeyRing mKeys;
+  RoutingGuards mGuards;
   std::array<uint64_t, kDropReasonCount> mCounts{};
 };
 
--- a/src/Daemon/SnapshotBuilder.h
+++ b/include/snipepost/View/SnapshotBuilder.h
@@ -8,6 +8,13 @@
 
 namespace snipepost {
 
+/// Switches off single rules, so that tests can show that each is needed.
+struct ViewGuards
+{
+  /// Suspicion of more than half of a service's agents is ignored.
+  bool mPanicThreshold = true;
+};
+
 /// Builds the routing snapshot for a configuration and a view of the members.
 /// Takes new flows: an agent that is ready and admitted, in a failure domain
 /// that is in, and not suspected. When more than half of a service's agents
@@ -16,6 +23,7 @@
 std::shared_ptr<const RoutingSnapshot>
 BuildSnapshot(const EffectiveConfig& aConfig,
               const Blackboard& aBoard,
-              const RoutingSnapshot* aPrevious);
+              const RoutingSnapshot* aPrevious,
+              const ViewGuards& aGuards = {});
 
 } // namespace snipepost
--- a/src/Daemon/EntryInstance.cpp
+++ b/src/Daemon/EntryInstance.cpp
@@ -1,9 +1,9 @@
 #include <src/Daemon/EntryInstance.h>
 
 #include <src/Daemon/MembershipMetrics.h>
-#include <src/Daemon/SnapshotBuilder.h>
 
 #include <snipepost/Routing/ProxyHeader.h>
+#include <snipepost/View/SnapshotBuilder.h>
 
 namespace snipepost {
 
--- a/src/Membership/AnnouncementController.cpp
+++ b/src/Membership/AnnouncementController.cpp
@@ -17,7 +17,7 @@
 constexpr Duration kProbeConfirms = 3s;
 /// After a store outage the whole fleet is due for renewal. A cap of 10 s
 /// brought 52 writes/s from 250 instances; probes keep the leases meanwhile.
-constexpr Duration kRetryBase = 500ms;
+constexpr Duration kRetryFirst = 1s;
 constexpr Duration kRetryCap = 60s;
 /// How long an entry instance counts as a prober after its last probe.
 constexpr Duration kProberMemory = 10s;
@@ -35,7 +35,7 @@
 }
 
 AnnouncementController::AnnouncementController()
-  : mDelay(kRetryBase, kRetryCap)
+  : mDelay(kRetryFirst, kRetryCap)
 {
 }
 
@@ -120,7 +120,7 @@
     return;
   }
   const auto record = ParseRecord(aEvent.mObject.mValue);
-  if (record &&
+  if (record && aBoard.mOptions.mGuards.mFencing &&
       record->mVersion.mIncarnation > aBoard.mOwn.mVersion.mIncarnation) {
     mSuperseded = true;
     aBoard.mOwnLeaseEnd = aNow;
@@ -166,7 +166,7 @@
                                 Instant aNow,
                                 Random& aRandom)
 {
-  mDelay.Succeeded();
+  mDelay.Reset();
   ++aBoard.mCounters.mLeaseRenewals;
   // The lease counts from before the write was sent: the store's own clock
   // may have started it no earlier.
@@ -182,7 +182,7 @@
                                Random& aRandom)
 {
   ++aBoard.mCounters.mStoreFailures;
-  mNextCall = aNow + mDelay.Failed(aRandom);
+  mNextCall = aNow + mDelay.Next(aRandom);
 }
 
 } // namespace snipepost
--- a/src/Membership/DocumentController.cpp
+++ b/src/Membership/DocumentController.cpp
@@ -27,7 +27,7 @@
 
 DocumentController::DocumentController(DocumentInspector aInspector)
   : mInspector(std::move(aInspector))
-  , mReadDelay(250ms, 10s)
+  , mReadDelay(500ms, 10s)
 {
 }
 
@@ -114,7 +114,9 @@
     ++board.mCounters.mDocumentsRejected;
     return;
   }
-  if (*version <= board.mDocument.mVersion) {
+  if (*version == board.mDocument.mVersion ||
+      (*version < board.mDocument.mVersion &&
+       board.mOptions.mGuards.mNeverReverts)) {
     return;
   }
   board.mDocument = HeldDocument{ *version, aText };
@@ -150,11 +152,11 @@
   const bool answered = aEvent.mOutcome == StoreOutcome::Done ||
                         aEvent.mOutcome == StoreOutcome::Absent;
   if (!answered) {
-    mNextRead = aContext.mNow + mReadDelay.Failed(aContext.mRandom);
+    mNextRead = aContext.mNow + mReadDelay.Next(aContext.mRandom);
     ++aContext.mBoard.mCounters.mStoreFailures;
     return;
   }
-  mReadDelay.Succeeded();
+  mReadDelay.Reset();
   mNextRead =
     aContext.mNow + aContext.mRandom.Jittered(kReadInterval, kReadSpread);
   ObserveStored(aContext,
@@ -192,7 +194,8 @@
     mWriteBackAt.reset();
     return;
   }
-  if (board.mOwn.mRole != InstanceRole::Entry) {
+  if (board.mOwn.mRole != InstanceRole::Entry ||
+      !board.mOptions.mGuards.mWriteBack) {
     return;
   }
   mWriteBackCondition =
@@ -231,7 +234,7 @@
   // Whatever became of the write, what the store now holds is read again.
   mNextRead = aContext.mNow + (aEvent.mOutcome == StoreOutcome::Done
                                  ? Duration::zero()
-                                 : mReadDelay.Failed(aContext.mRandom));
+                                 : mReadDelay.Next(aContext.mRandom));
 }
 
 } // namespace snipepost
--- a/src/Membership/HealthController.cpp
+++ b/src/Membership/HealthController.cpp
@@ -169,7 +169,9 @@
       const auto vote = aBoard.mVotes.find({ target, prober });
       down += vote != aBoard.mVotes.end() && vote->second.mDown ? 1 : 0;
     }
-    if (down > 0 && 2 * down > probers.size()) {
+    const bool most =
+      2 * down > probers.size() || !aBoard.mOptions.mGuards.mVoteMajority;
+    if (down > 0 && most) {
       suspects.insert(target);
     }
   }
--- a/src/Membership/MembershipCore.cpp
+++ b/src/Membership/MembershipCore.cpp
@@ -104,7 +104,9 @@
 bool
 MembershipCore::MayAct(Instant aNow) const
 {
-  return !Superseded() && aNow < mBoard.mOwnLeaseEnd;
+  const bool leased =
+    aNow < mBoard.mOwnLeaseEnd || !mBoard.mOptions.mGuards.mLease;
+  return !Superseded() && leased;
 }
 
 } // namespace snipepost
--- a/src/Membership/ViewController.cpp
+++ b/src/Membership/ViewController.cpp
@@ -48,6 +48,9 @@
 void
 RememberDropped(Blackboard& aBoard, const InstanceRecord& aRecord)
 {
+  if (!aBoard.mOptions.mGuards.mDropMemory) {
+    return;
+  }
   constexpr size_t kMaxDropped = 10000;
   if (aBoard.mDropped.size() >= kMaxDropped) {
     aBoard.mDropped.clear();
@@ -137,9 +140,9 @@
 
 ViewController::ViewController()
   : mSources{
-    Source{ "endpoints/", false, false, 0, {}, {}, { 250ms, 10s } },
-    Source{ "entries/", false, false, 0, {}, {}, { 250ms, 10s } },
-    Source{ "deployments/", false, false, 0, {}, {}, { 250ms, 10s } }
+    Source{ "endpoints/", false, false, 0, {}, {}, Backoff(500ms, 10s) },
+    Source{ "entries/", false, false, 0, {}, {}, Backoff(500ms, 10s) },
+    Source{ "deployments/", false, false, 0, {}, {}, Backoff(500ms, 10s) }
   }
 {
 }
@@ -221,10 +224,10 @@
   if (aEvent.mOutcome != StoreOutcome::Done) {
     ++aBoard.mCounters.mStoreFailures;
     source->mListed = false;
-    source->mNextCall = aNow + source->mDelay.Failed(aRandom);
+    source->mNextCall = aNow + source->mDelay.Next(aRandom);
     return;
   }
-  source->mDelay.Succeeded();
+  source->mDelay.Reset();
   // A store that was rolled back starts its revisions anew: a watch from the
   // old one would wait for a revision that may never come.
   source->mListed = aEvent.mRevision >= source->mRevision;
--- a/src/Routing/EntryRouter.cpp
+++ b/src/Routing/EntryRouter.cpp
@@ -41,10 +41,11 @@
 RouteByTable(const RoutingSnapshot& aSnapshot,
              const ServiceRoutes& aService,
              FlowKey aKey,
+             const RoutingGuards& aGuards,
              RouteDecision& aDecision)
 {
   AddCandidates(aSnapshot, *aService.mCurrent, aKey, aDecision.mCandidates);
-  if (aService.mPrevious) {
+  if (aService.mPrevious && aGuards.mPreviousCandidates) {
     AddCandidates(aSnapshot, *aService.mPrevious, aKey, aDecision.mCandidates);
   }
   return aDecision.mCandidates.IsEmpty() ? DropReason::NoBackend
@@ -55,12 +56,13 @@
 RouteById(const RoutingSnapshot& aSnapshot,
           const ServiceRoutes& aService,
           const RouteId& aRoute,
+          const RoutingGuards& aGuards,
           RouteDecision& aDecision)
 {
-  if (aRoute.mService != aService.mId) {
+  if (aRoute.mService != aService.mId && aGuards.mServiceCheck) {
     return DropReason::WrongService;
   }
-  if (aSnapshot.IsOut(aRoute.mDomain)) {
+  if (aSnapshot.IsOut(aRoute.mDomain) && aGuards.mDomainCheck) {
     return DropReason::DomainOut;
   }
   aDecision.mByIssuedId = true;
@@ -114,12 +116,12 @@
   const auto packet = ParseQuicInvariants(aDatagram);
   if (packet) {
     if (const auto route = DecodeRouteId(packet->mDestinationId, mKeys)) {
-      return RouteById(aSnapshot, *service, *route, aDecision);
+      return RouteById(aSnapshot, *service, *route, mGuards, aDecision);
     }
   }
   if (aDatagram[0] < kFirstQuicByte) {
     const FlowKey key = FlowKeyOfCaller(aCaller, service->mId);
-    return RouteByTable(aSnapshot, *service, key, aDecision);
+    return RouteByTable(aSnapshot, *service, key, mGuards, aDecision);
   }
   if (!packet) {
     return DropReason::Malformed;
@@ -129,7 +131,7 @@
     return DropReason::ForgedId;
   }
   const FlowKey key = FlowKeyOfConnectionId(packet->mDestinationId);
-  return RouteByTable(aSnapshot, *service, key, aDecision);
+  return RouteByTable(aSnapshot, *service, key, mGuards, aDecision);
 }
 
 } // namespace snipepost
--- a/src/Daemon/SnapshotBuilder.cpp
+++ b/src/View/SnapshotBuilder.cpp
@@ -1,4 +1,4 @@
-#include <src/Daemon/SnapshotBuilder.h>
+#include <snipepost/View/SnapshotBuilder.h>
 
 #include <map>
 
@@ -23,9 +23,10 @@
 }
 
 std::vector<Backend>
-Eligible(Candidates&& aCandidates)
+Eligible(Candidates&& aCandidates, const ViewGuards& aGuards)
 {
-  if (aCandidates.mSuspected.size() > aCandidates.mTrusted.size()) {
+  if (aGuards.mPanicThreshold &&
+      aCandidates.mSuspected.size() > aCandidates.mTrusted.size()) {
     auto& all = aCandidates.mTrusted;
     all.insert(
       all.end(), aCandidates.mSuspected.begin(), aCandidates.mSuspected.end());
@@ -38,7 +39,8 @@
 std::shared_ptr<const RoutingSnapshot>
 BuildSnapshot(const EffectiveConfig& aConfig,
               const Blackboard& aBoard,
-              const RoutingSnapshot* aPrevious)
+              const RoutingSnapshot* aPrevious,
+              const ViewGuards& aGuards)
 {
   std::map<ServiceId, Candidates> candidates;
   for (const auto& [address, member] : aBoard.mMembers) {
@@ -59,7 +61,7 @@
   std::vector<ServiceView> services;
   for (const auto& [id, service] : aConfig.mServices) {
     services.push_back(
-      { id, service.mAddress, Eligible(std::move(candidates[id])) });
+      { id, service.mAddress, Eligible(std::move(candidates[id]), aGuards) });
   }
   DomainSet out;
   for (const auto& [id, domain] : aConfig.mDomains) {
--- a/tests/Platform/BackoffTest.cpp
+++ b/tests/Base/BackoffTest.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include <snipepost/Platform/Backoff.h>
+#include <snipepost/Base/Backoff.h>
 
 using namespace snipepost;
 
