HealthController: rank the probers of one region once per target

A change of the view assigns all probes anew. Each target scanned every member and sorted with two hashes per comparison, so the tick cost grew with the square of the fleet. The candidates of each region are now listed once, and each weight is computed once.

--- a/include/snipepost/Membership/Blackboard.h
+++ b/include/snipepost/Membership/Blackboard.h
@@ -118,6 +118,11 @@
   MembershipCounters mCounters;
 };
 
+/// Weight of an address in the rendezvous order for aKey; the greatest is
+/// first.
+uint64_t
+RankWeight(uint64_t aKey, const Address& aAddress);
+
 /// True when aLeft sorts before aRight in the rendezvous order for aKey
 /// (Thaler and Ravishankar, 1998): every instance computes the same order.
 bool
--- a/include/snipepost/Membership/HealthController.h
+++ b/include/snipepost/Membership/HealthController.h
@@ -48,9 +48,16 @@
   uint32_t mVoteCount = 0;
 };
 
+/// Entry instances that may probe, by region: those that are neither gone,
+/// suspected nor in a failure domain that is out.
+using ProberCandidates = std::map<uint8_t, std::vector<Address>>;
+
+ProberCandidates
+CandidatesByRegion(const Blackboard& aBoard);
+
 /// The entry instances of the target's region that should probe it: the first
-/// kProbersPerTarget in rendezvous order that are not suspected.
+/// kProbersPerTarget of the candidates in rendezvous order.
 std::vector<Address>
-ProbersOf(const Blackboard& aBoard, const InstanceRecord& aTarget);
+ProbersOf(const ProberCandidates& aCandidates, const InstanceRecord& aTarget);
 
 } // namespace snipepost
--- a/src/Membership/Blackboard.cpp
+++ b/src/Membership/Blackboard.cpp
@@ -4,22 +4,18 @@
 
 namespace snipepost {
 
-namespace {
-
 uint64_t
-Weight(uint64_t aKey, const Address& aAddress)
+RankWeight(uint64_t aKey, const Address& aAddress)
 {
   const uint64_t packed = (uint64_t{ aAddress.mIp } << 16) | aAddress.mPort;
   return XXH3_64bits_withSeed(&packed, sizeof packed, aKey);
 }
 
-} // namespace
-
 bool
 RanksBefore(uint64_t aKey, const Address& aLeft, const Address& aRight)
 {
-  const uint64_t left = Weight(aKey, aLeft);
-  const uint64_t right = Weight(aKey, aRight);
+  const uint64_t left = RankWeight(aKey, aLeft);
+  const uint64_t right = RankWeight(aKey, aRight);
   return left != right ? left > right : aLeft < aRight;
 }
 
@@ -55,7 +51,7 @@
 RankKey(const Address& aAddress)
 {
   constexpr uint64_t kSeed = 0x70726f6265727321;
-  return Weight(kSeed, aAddress);
+  return RankWeight(kSeed, aAddress);
 }
 
 } // namespace snipepost
--- a/src/Membership/HealthController.cpp
+++ b/src/Membership/HealthController.cpp
@@ -1,6 +1,8 @@
 #include <snipepost/Membership/HealthController.h>
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 #include <snipepost/Membership/ViewController.h>
 
@@ -13,40 +15,63 @@
 constexpr unsigned kProbesLostForVote = 3;
 constexpr double kProbeSpread = 0.1;
 
-bool
-Probes(const Blackboard& aBoard,
-       const Member& aMember,
-       const InstanceRecord& aTarget)
+/// The first kProbersPerTarget of the candidates in rendezvous order for the
+/// target, which never probes itself. Each weight is computed once.
+std::vector<Address>
+FirstRanks(const std::vector<Address>& aCandidates, const Address& aTarget)
 {
-  const InstanceRecord& record = aMember.mRecord;
-  return record.mRole == InstanceRole::Entry &&
-         record.mState != InstanceState::Left &&
-         record.mRegion == aTarget.mRegion && MayContact(aBoard, record) &&
-         record.mAddress != aTarget.mAddress &&
-         !aBoard.mSuspects.contains(record.mAddress);
+  using Ranked = std::pair<uint64_t, Address>;
+  const auto before = [](const Ranked& aLeft, const Ranked& aRight) {
+    return aLeft.first != aRight.first ? aLeft.first > aRight.first
+                                       : aLeft.second < aRight.second;
+  };
+  const uint64_t key = RankKey(aTarget);
+  std::array<Ranked, kProbersPerTarget + 1> first;
+  size_t count = 0;
+  for (const Address& candidate : aCandidates) {
+    if (candidate == aTarget) {
+      continue;
+    }
+    size_t at = count;
+    const Ranked ranked(RankWeight(key, candidate), candidate);
+    for (; at > 0 && before(ranked, first[at - 1]); --at) {
+      first[at] = first[at - 1];
+    }
+    first[at] = ranked;
+    count = std::min(count + 1, kProbersPerTarget);
+  }
+  std::vector<Address> probers(count);
+  std::transform(first.begin(),
+                 first.begin() + static_cast<std::ptrdiff_t>(count),
+                 probers.begin(),
+                 [](const Ranked& aRanked) { return aRanked.second; });
+  return probers;
 }
 
 } // namespace
 
-std::vector<Address>
-ProbersOf(const Blackboard& aBoard, const InstanceRecord& aTarget)
+ProberCandidates
+CandidatesByRegion(const Blackboard& aBoard)
 {
-  std::vector<Address> probers;
+  ProberCandidates candidates;
   for (const auto& [address, member] : aBoard.mMembers) {
-    if (Probes(aBoard, member, aTarget)) {
-      probers.push_back(address);
+    const InstanceRecord& record = member.mRecord;
+    if (record.mRole == InstanceRole::Entry &&
+        record.mState != InstanceState::Left && MayContact(aBoard, record) &&
+        !aBoard.mSuspects.contains(address)) {
+      candidates[record.mRegion].push_back(address);
     }
   }
-  const uint64_t key = RankKey(aTarget.mAddress);
-  const size_t wanted = std::min(kProbersPerTarget, probers.size());
-  std::partial_sort(probers.begin(),
-                    probers.begin() + static_cast<std::ptrdiff_t>(wanted),
-                    probers.end(),
-                    [key](const Address& aLeft, const Address& aRight) {
-                      return RanksBefore(key, aLeft, aRight);
-                    });
-  probers.resize(wanted);
-  return probers;
+  return candidates;
+}
+
+std::vector<Address>
+ProbersOf(const ProberCandidates& aCandidates, const InstanceRecord& aTarget)
+{
+  const auto region = aCandidates.find(aTarget.mRegion);
+  return region == aCandidates.end()
+           ? std::vector<Address>()
+           : FirstRanks(region->second, aTarget.mAddress);
 }
 
 void
@@ -116,13 +141,14 @@
 {
   std::map<Address, Target> targets;
   mProbers.clear();
+  const ProberCandidates candidates = CandidatesByRegion(aBoard);
   for (const auto& [address, member] : aBoard.mMembers) {
     if (member.mRecord.mState == InstanceState::Left ||
         !MayContact(aBoard, member.mRecord)) {
       continue;
     }
     auto& probers = mProbers[address];
-    probers = ProbersOf(aBoard, member.mRecord);
+    probers = ProbersOf(candidates, member.mRecord);
     const bool assigned =
       std::find(probers.begin(), probers.end(), aBoard.mOwn.mAddress) !=
       probers.end();
--- a/tests/Membership/FakeFleet.h
+++ b/tests/Membership/FakeFleet.h
@@ -36,11 +36,14 @@
   std::map<std::string, StoreObject> mObjects;
   uint64_t mReads = 0;
   uint64_t mWrites = 0;
+  /// Calls left before the rate limit refuses them; watches don't use them up.
+  uint64_t mReadsLeft = UINT64_MAX;
+  uint64_t mWritesLeft = UINT64_MAX;
 
   StoreOutcome Write(const StoreWrite& aWrite, ObjectVersion& aVersion)
   {
     ++mWrites;
-    if (mDown) {
+    if (mDown || !Take(mWritesLeft)) {
       return StoreOutcome::Refused;
     }
     const auto found = mObjects.find(aWrite.mKey);
@@ -61,7 +64,7 @@
   StoreReadEnded Read(const std::string& aKey)
   {
     ++mReads;
-    if (mDown) {
+    if (mDown || !Take(mReadsLeft)) {
       return { aKey, StoreOutcome::Refused, {} };
     }
     const auto found = mObjects.find(aKey);
@@ -78,7 +81,7 @@
     StoreListEnded list{
       aPrefix, StoreOutcome::Done, aSince == 0, mRevision, {}
     };
-    if (mDown) {
+    if (mDown || (aSince == 0 && !Take(mReadsLeft))) {
       list.mOutcome = StoreOutcome::Refused;
       return list;
     }
@@ -89,6 +92,16 @@
     }
     return list;
   }
+
+private:
+  static bool Take(uint64_t& aLeft)
+  {
+    if (aLeft == 0) {
+      return false;
+    }
+    --aLeft;
+    return true;
+  }
 };
 
 /// Several membership cores joined by a network in virtual time.
@@ -108,6 +121,24 @@
   /// True when packets from the first to the second are lost.
   std::function<bool(const Address&, const Address&)> mCut =
     [](const Address&, const Address&) { return false; };
+  /// True when the instance can't reach the store.
+  std::function<bool(const Address&)> mStoreCut = [](const Address&) {
+    return false;
+  };
+  std::function<uint8_t(const Address&)> mRegionOf = [](const Address&) {
+    return uint8_t{ 0 };
+  };
+  /// Time between the ticks of each core.
+  Duration mStep = std::chrono::milliseconds(20);
+  /// For measurements, when set: each effect, each exchange message or answer
+  /// with sender and receiver, and each event after a core handled it with a
+  /// timestamp of mClock from before.
+  std::function<void(const Address&, const MembershipEffect&)> mOnEffect;
+  std::function<void(const Address&, const Address&, const ExchangeMessage&)>
+    mOnMessage;
+  std::function<void(const Address&, const MembershipEvent*, Duration)>
+    mOnHandled;
+  std::function<Duration()> mClock;
   /// Total bytes of exchange messages, both ways.
   uint64_t mExchangeBytes = 0;
   uint64_t mDocumentBytes = 0;
@@ -129,6 +160,7 @@
     own.mRole = aRole;
     own.mAddress = At(aIndex);
     own.mDomain = aDomain;
+    own.mRegion = mRegionOf(own.mAddress);
     own.mService = ServiceId(aRole == InstanceRole::Agent ? 1 : 0);
     own.mState = InstanceState::Ready;
     own.mVersion = { Incarnation(aLife), 0 };
@@ -188,7 +220,7 @@
 
   void Advance()
   {
-    mNow += std::chrono::milliseconds(20);
+    mNow += mStep;
     while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
       auto message = std::move(mQueue.begin()->second);
       mQueue.erase(mQueue.begin());
@@ -215,7 +247,15 @@
 
   void Feed(const Address& aTo, const MembershipEvent& aEvent)
   {
-    for (const auto& effect : mCores.at(aTo)->Handle(aEvent, mNow)) {
+    const Duration start = mClock ? mClock() : Duration{};
+    const auto effects = mCores.at(aTo)->Handle(aEvent, mNow);
+    if (mOnHandled) {
+      mOnHandled(aTo, &aEvent, start);
+    }
+    for (const auto& effect : effects) {
+      if (mOnEffect) {
+        mOnEffect(aTo, effect);
+      }
       std::visit([&](const auto& aOne) { Perform(aTo, aOne); }, effect);
     }
   }
@@ -252,10 +292,14 @@
       Reply(aFrom, ExchangeEnded{ target, std::nullopt });
       return;
     }
-    CountBytes(aSend.mMessage);
+    CountBytes(aFrom, target, aSend.mMessage);
     Post(target, mDelay, [this, aFrom, target, message = aSend.mMessage] {
+      const Duration start = mClock ? mClock() : Duration{};
       const auto answer = mCores.at(target)->AnswerExchange(message, mNow);
-      CountBytes(answer);
+      if (mOnHandled) {
+        mOnHandled(target, nullptr, start);
+      }
+      CountBytes(target, aFrom, answer);
       Reply(aFrom, ExchangeEnded{ target, answer });
     });
   }
@@ -276,18 +320,29 @@
 
   void Perform(const Address& aFrom, const StoreRead& aRead)
   {
+    if (mStoreCut(aFrom)) {
+      Reply(aFrom, StoreReadEnded{ aRead.mKey, StoreOutcome::Refused, {} });
+      return;
+    }
     Reply(aFrom, mStore.Read(aRead.mKey));
   }
 
   void Perform(const Address& aFrom, const StoreWrite& aWrite)
   {
     StoreWriteEnded ended{ aWrite.mKey, StoreOutcome::Unknown, {} };
-    ended.mOutcome = mStore.Write(aWrite, ended.mVersion);
+    ended.mOutcome = mStoreCut(aFrom) ? StoreOutcome::Refused
+                                      : mStore.Write(aWrite, ended.mVersion);
     Reply(aFrom, ended);
   }
 
   void Perform(const Address& aFrom, const StoreList& aList)
   {
+    if (mStoreCut(aFrom)) {
+      Reply(
+        aFrom,
+        StoreListEnded{ aList.mPrefix, StoreOutcome::Refused, true, 0, {} });
+      return;
+    }
     Reply(aFrom, mStore.List(aList.mPrefix, 0));
   }
 
@@ -308,7 +363,12 @@
       --mStore.mReads; // Counted when the watch was set.
       list.mComplete = false;
       const bool fires = !list.mObjects.empty() || mNow >= watch.mLimit ||
-                         list.mOutcome != StoreOutcome::Done;
+                         list.mOutcome != StoreOutcome::Done ||
+                         mStoreCut(watch.mOwner);
+      if (mStoreCut(watch.mOwner)) {
+        list.mOutcome = StoreOutcome::Refused;
+        list.mObjects.clear();
+      }
       if (!fires) {
         waiting.push_back(watch);
       } else if (Live(watch.mOwner)) {
@@ -318,8 +378,13 @@
     mWatches.insert(mWatches.end(), waiting.begin(), waiting.end());
   }
 
-  void CountBytes(const ExchangeMessage& aMessage)
+  void CountBytes(const Address& aFrom,
+                  const Address& aTo,
+                  const ExchangeMessage& aMessage)
   {
+    if (mOnMessage) {
+      mOnMessage(aFrom, aTo, aMessage);
+    }
     if (mCountBytes) {
       mExchangeBytes += WriteExchange(aMessage).size();
     }
--- a/tools/bench/Main.cpp
+++ b/tools/bench/Main.cpp
@@ -17,9 +17,11 @@
   void (*mRun)(Report&);
 };
 
-constexpr std::array<Mode, 2> kModes{ {
+constexpr std::array<Mode, 4> kModes{ {
   { "routing", "decisions, table rebuilds, moved keys, memory", RunRouting },
   { "relay", "packets through the entry path and a bare relay", RunRelay },
+  { "membership", "costs of one membership core", RunMembership },
+  { "fleet", "membership cores in virtual time", RunFleet },
 } };
 
 int
--- a/tools/bench/Modes.h
+++ b/tools/bench/Modes.h
@@ -12,4 +12,12 @@
 void
 RunRelay(Report& aReport);
 
+/// Costs of one membership core at several sizes of the fleet.
+void
+RunMembership(Report& aReport);
+
+/// Fleets of membership cores in virtual time: traffic, store calls, documents.
+void
+RunFleet(Report& aReport);
+
 } // namespace snipepost::bench
--- a/tools/bench/Report.cpp
+++ b/tools/bench/Report.cpp
@@ -53,6 +53,12 @@
   mSections.back().mRows.push_back(std::move(aCells));
 }
 
+void
+Report::Append(Report aOther)
+{
+  std::ranges::move(aOther.mSections, std::back_inserter(mSections));
+}
+
 void
 Report::PrintSection(const Section& aSection, std::ostream& aOut)
 {
--- a/tools/bench/Report.h
+++ b/tools/bench/Report.h
@@ -17,6 +17,9 @@
   void StartTable(std::string aName, std::vector<std::string> aColumns);
   void AddRow(std::vector<Cell> aCells);
 
+  /// Adds the tables of another report.
+  void Append(Report aOther);
+
   /// Plain text with aligned columns.
   void PrintText(std::ostream& aOut) const;
 
