HealthController: keep the probers of known targets

When the candidates are the same as before, as after most changes of the view, targets keep their probers and only new ones are ranked.

--- a/include/snipepost/Membership/HealthController.h
+++ b/include/snipepost/Membership/HealthController.h
@@ -11,6 +11,10 @@
 /// the fleet, so that an endpoint's probe load does not grow with it.
 constexpr size_t kProbersPerTarget = 3;
 
+/// Entry instances that may probe, by region: those that are neither gone,
+/// suspected nor in a failure domain that is out.
+using ProberCandidates = std::map<uint8_t, std::vector<Address>>;
+
 /// Probes the instances assigned to this one by rendezvous rank, votes on
 /// their reachability, and derives the suspects from all votes. Runs in entry
 /// instances. The scheme follows SWIM (Das, Gupta and Motivala, 2002) with a
@@ -32,6 +36,13 @@
     bool mDown = false;
   };
 
+  struct Assignment
+  {
+    uint8_t mRegion = 0;
+    std::vector<Address> mProbers;
+  };
+  using Assignments = std::map<Address, Assignment>;
+
   void OnTick(Blackboard& aBoard,
               Instant aNow,
               Random& aRandom,
@@ -42,16 +53,13 @@
   void DeriveSuspects(Blackboard& aBoard) const;
 
   std::map<Address, Target> mTargets;
-  std::map<Address, std::vector<Address>> mProbers;
+  Assignments mAssignments;
+  ProberCandidates mCandidates; ///< Those that mAssignments was made from.
   uint64_t mAssignedRevision = 0;
   uint64_t mSuspectedDigest = 0;
   uint32_t mVoteCount = 0;
 };
 
-/// Entry instances that may probe, by region: those that are neither gone,
-/// suspected nor in a failure domain that is out.
-using ProberCandidates = std::map<uint8_t, std::vector<Address>>;
-
 ProberCandidates
 CandidatesByRegion(const Blackboard& aBoard);
 
--- a/src/Membership/HealthController.cpp
+++ b/src/Membership/HealthController.cpp
@@ -140,15 +140,28 @@
 HealthController::Assign(Blackboard& aBoard, Instant aNow, Random& aRandom)
 {
   std::map<Address, Target> targets;
-  mProbers.clear();
-  const ProberCandidates candidates = CandidatesByRegion(aBoard);
+  // Most changes leave the candidates as they are, and then the known targets
+  // keep their probers.
+  ProberCandidates candidates = CandidatesByRegion(aBoard);
+  const Assignments before = std::exchange(mAssignments, {});
+  const bool reusable = candidates == mCandidates;
+  mCandidates = std::move(candidates);
   for (const auto& [address, member] : aBoard.mMembers) {
     if (member.mRecord.mState == InstanceState::Left ||
         !MayContact(aBoard, member.mRecord)) {
       continue;
     }
-    auto& probers = mProbers[address];
-    probers = ProbersOf(candidates, member.mRecord);
+    const auto old = before.find(address);
+    const bool keep = reusable && old != before.end() &&
+                      old->second.mRegion == member.mRecord.mRegion;
+    Assignment assignment =
+      keep ? old->second
+           : Assignment{ member.mRecord.mRegion,
+                         ProbersOf(mCandidates, member.mRecord) };
+    const std::vector<Address>& probers =
+      mAssignments
+        .emplace_hint(mAssignments.end(), address, std::move(assignment))
+        ->second.mProbers;
     const bool assigned =
       std::find(probers.begin(), probers.end(), aBoard.mOwn.mAddress) !=
       probers.end();
@@ -189,8 +202,9 @@
 HealthController::DeriveSuspects(Blackboard& aBoard) const
 {
   std::set<Address> suspects;
-  for (const auto& [target, probers] : mProbers) {
+  for (const auto& [target, assignment] : mAssignments) {
     size_t down = 0;
+    const std::vector<Address>& probers = assignment.mProbers;
     for (const Address& prober : probers) {
       const auto vote = aBoard.mVotes.find({ target, prober });
       down += vote != aBoard.mVotes.end() && vote->second.mDown ? 1 : 0;
