ViewController: keep the hash of each record

The digests of the buckets hashed the JSON text of every record anew, at both ends of each exchange whose digests differ.

A record takes 176 instead of 160 bytes.

--- a/include/snipepost/Membership/Blackboard.h
+++ b/include/snipepost/Membership/Blackboard.h
@@ -29,6 +29,8 @@
   InstanceRecord mRecord;
   /// When the record stops counting unless it is renewed.
   Instant mLeaseEnd;
+  /// Part of the record in the digests of the view.
+  uint64_t mHash = 0;
 };
 
 /// What an instance knows of the platform's object API.
--- a/src/Membership/ViewController.cpp
+++ b/src/Membership/ViewController.cpp
@@ -85,13 +85,15 @@
     if (aRecord.mVersion == member.mRecord.mVersion) {
       return false;
     }
-    aBoard.mDigest ^= HashRecord(member.mRecord);
-    member.mRecord = aRecord;
-    member.mLeaseEnd = aLeaseEnd;
+    const uint64_t hash = HashRecord(aRecord);
+    aBoard.mDigest ^= member.mHash ^ hash;
+    member = { aRecord, aLeaseEnd, hash };
   } else {
-    aBoard.mMembers.emplace(aRecord.mAddress, Member{ aRecord, aLeaseEnd });
+    const uint64_t hash = HashRecord(aRecord);
+    aBoard.mDigest ^= hash;
+    aBoard.mMembers.emplace(aRecord.mAddress,
+                            Member{ aRecord, aLeaseEnd, hash });
   }
-  aBoard.mDigest ^= HashRecord(aRecord);
   aBoard.mFreshRecords[aRecord.mAddress] = kFreshSends;
   ++aBoard.mRevision;
   return true;
@@ -127,7 +129,7 @@
 {
   std::vector<uint64_t> digests(kViewBuckets);
   for (const auto& [address, member] : aBoard.mMembers) {
-    digests[BucketOf(address)] ^= HashRecord(member.mRecord);
+    digests[BucketOf(address)] ^= member.mHash;
   }
   for (const auto& [key, vote] : aBoard.mVotes) {
     digests[BucketOf(key.first)] ^= HashVote(vote);
@@ -265,7 +267,7 @@
       ++at;
       continue;
     }
-    aBoard.mDigest ^= HashRecord(member.mRecord);
+    aBoard.mDigest ^= member.mHash;
     for (auto vote = aBoard.mVotes.lower_bound({ at->first, Address{} });
          vote != aBoard.mVotes.end() && vote->first.first == at->first;) {
       aBoard.mDigest ^= HashVote(vote->second);
