--- a/tests/Daemon/SnapshotBuilderTest.cpp
+++ b/tests/View/SnapshotBuilderTest.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <src/Daemon/SnapshotBuilder.h>
+#include <snipepost/View/SnapshotBuilder.h>
 
 using namespace snipepost;
 
