End flows of a replaced agent with stateless resets

Cause: a caller whose agent was killed learnt of it by its idle timeout of up to 30 s, since the new life dropped the packets of unknown flows. Ruled out: an answer by entry instances; they do not know incarnations. Change: reset tokens are SipHash tags of the issued connection ID under the deployment's key, so a later life computes the same, and answers a short header packet whose ID names this agent. Before/after in the new test: no end within 1 s; the flow ends within 1 s. Conclusion: only the agent that the tagged ID names answers, with fewer bytes than it received.

--- a/include/snipepost/Quic/ServerEndpoint.h
+++ b/include/snipepost/Quic/ServerEndpoint.h
@@ -70,7 +70,7 @@
 ///
 /// Callers' addresses are not validated (no Retry), so amplification is
 /// limited by QUIC's factor of 3 only. There is no 0-RTT, no session
-/// resumption, no stateless reset and no version negotiation: other versions
+/// resumption and no version negotiation: other versions
 /// than 1 are ignored.
 class ServerEndpoint
 {
@@ -117,6 +117,13 @@
   /// keeping state. Does nothing for any other datagram.
   void Refuse(std::span<const uint8_t> aPayload, const Address& aCaller);
 
+  /// Sets how stateless reset tokens are computed. Without it there are none.
+  void SetResetTokens(ResetTokenIssuer aIssuer);
+
+  /// Answers a datagram of a flow that an earlier life of this agent held with
+  /// a stateless reset, so that the caller does not wait for its timeout.
+  void ResetUnknown(std::span<const uint8_t> aPayload, const Address& aCaller);
+
   /// When to call OnTimer(); Instant::max() when there is nothing to do.
   Instant NextDeadline() const;
 
--- a/include/snipepost/Quic/Types.h
+++ b/include/snipepost/Quic/Types.h
@@ -69,6 +69,16 @@
 /// no earlier call of the same process returned.
 using RouteIdIssuer = std::function<ConnectionIdBytes()>;
 
+/// Length of a stateless reset token (RFC 9000, section 10.3).
+constexpr size_t kResetTokenLength = 16;
+
+using ResetToken = std::array<uint8_t, kResetTokenLength>;
+
+/// Computes the stateless reset token of an issued connection ID. A later life
+/// of the process computes the same, so it can end flows of the earlier one.
+using ResetTokenIssuer =
+  std::function<ResetToken(std::span<const uint8_t> aId)>;
+
 /// Bounds on what peers can make an endpoint hold.
 struct QuicLimits
 {
--- a/src/Daemon/AgentInstance.cpp
+++ b/src/Daemon/AgentInstance.cpp
@@ -1,6 +1,7 @@
 #include <src/Daemon/AgentInstance.h>
 
 #include <algorithm>
+#include <cstring>
 #include <random>
 
 #include <snipepost/Routing/QuicInvariants.h>
@@ -111,6 +112,9 @@
   , mTimer(aContext)
   , mRandom(std::random_device{}())
 {
+  mRandomTag = mRandom.Below(~uint64_t{ 0 });
+  mEndpoint.SetResetTokens(
+    [this](std::span<const uint8_t> aId) { return ResetTokenOf(aId); });
   mPaths.SetSeeds(aSettings.mPeers);
   mServer.SetStatus([this] { return Status(); });
   mServer.SetRelayHandler([this](http2::ServerRequest aRequest,
@@ -232,9 +236,38 @@
       return;
     case HuntingDecision::Action::Drop:
       mCounters.mDropped.Add();
+      ResetWhenOwn(aPacket);
   }
 }
 
+void
+AgentInstance::ResetWhenOwn(const Packet& aPacket)
+{
+  const auto invariants = ParseQuicInvariants(aPacket.mPayload);
+  if (!invariants || invariants->mKind != QuicPacketKind::Short) {
+    return;
+  }
+  const auto id = DecodeRouteId(invariants->mDestinationId, mKeys);
+  if (id && id->mAgent == mControl.Board().mOwn.mAddress) {
+    mEndpoint.ResetUnknown(aPacket.mPayload, aPacket.mHeader.mCaller);
+  }
+}
+
+ResetToken
+AgentInstance::ResetTokenOf(std::span<const uint8_t> aId) const
+{
+  // The slot in the ID survives a rotation: its secret still verifies.
+  const uint8_t slot = aId.empty() ? 0 : aId[0] & 0x0f;
+  std::vector<uint8_t> input(aId.begin(), aId.end());
+  ResetToken token;
+  for (uint8_t half = 0; half < 2; ++half) {
+    input.push_back(half);
+    const uint64_t tag = mKeys.Tag(slot, input).value_or(mRandomTag);
+    std::memcpy(token.data() + half * sizeof tag, &tag, sizeof tag);
+  }
+  return token;
+}
+
 void
 AgentInstance::Deliver(const Packet& aPacket, const Address& aFrom)
 {
--- a/src/Daemon/AgentInstance.h
+++ b/src/Daemon/AgentInstance.h
@@ -73,6 +73,9 @@
                         std::span<const uint8_t> aBytes,
                         const Address& aFrom);
   void Deliver(const Packet& aPacket, const Address& aFrom);
+  /// Ends a flow that an earlier life of this agent held.
+  void ResetWhenOwn(const Packet& aPacket);
+  ResetToken ResetTokenOf(std::span<const uint8_t> aId) const;
   void HandOn(const Packet& aPacket, uint8_t aCandidate);
   void AnswerProbe(const Address& aFrom);
   void SendReply(std::span<const uint8_t> aPayload,
@@ -131,6 +134,7 @@
   ReturnPaths mPaths;
   asio::steady_timer mTimer;
   Random mRandom;
+  uint64_t mRandomTag = 0; ///< For IDs whose key slot is empty.
   std::map<RequestHandle, Incoming> mIncoming;
   std::map<RequestId, RequestHandle> mHandles;
   Address mDelivering; ///< Sender of the packet that is being handled.
--- a/src/Quic/Connection.h
+++ b/src/Quic/Connection.h
@@ -75,6 +75,12 @@
   virtual void OnGoaway(Connection& aConnection, int64_t aId) = 0;
   /// Fills in a new connection ID, whose length is set.
   virtual void IssueId(Connection& aConnection, ngtcp2_cid& aId) = 0;
+  /// Fills in the stateless reset token of an ID, if this side issues any.
+  virtual bool IssueResetToken(const ngtcp2_cid& /* aId */,
+                               uint8_t* /* aToken */)
+  {
+    return false;
+  }
   virtual void RetireId(Connection& aConnection, const ngtcp2_cid& aId) = 0;
 };
 
--- a/src/Quic/ConnectionCallbacks.cpp
+++ b/src/Quic/ConnectionCallbacks.cpp
@@ -35,7 +35,9 @@
     Connection& connection = Of(aUser);
     aId->datalen = aLength;
     connection.mHooks.IssueId(connection, *aId);
-    gnutls_rnd(GNUTLS_RND_NONCE, aToken, NGTCP2_STATELESS_RESET_TOKENLEN);
+    if (!connection.mHooks.IssueResetToken(*aId, aToken)) {
+      gnutls_rnd(GNUTLS_RND_NONCE, aToken, NGTCP2_STATELESS_RESET_TOKENLEN);
+    }
     return 0;
   }
 
--- a/src/Quic/ConnectionSetup.cpp
+++ b/src/Quic/ConnectionSetup.cpp
@@ -99,6 +99,8 @@
   const ngtcp2_settings settings = MakeSettings(aNow);
   ngtcp2_transport_params params = MakeParams();
   params.original_dcid = aInitial.dcid;
+  params.stateless_reset_token_present =
+    mHooks.IssueResetToken(id, params.stateless_reset_token) ? 1 : 0;
   if (ngtcp2_conn_server_new(&mConn,
                              &aInitial.scid,
                              &id,
--- a/src/Quic/ServerEndpoint.cpp
+++ b/src/Quic/ServerEndpoint.cpp
@@ -50,6 +50,19 @@
   mImpl->Refuse(aPayload, aCaller);
 }
 
+void
+ServerEndpoint::SetResetTokens(ResetTokenIssuer aIssuer)
+{
+  mImpl->SetResetTokens(std::move(aIssuer));
+}
+
+void
+ServerEndpoint::ResetUnknown(std::span<const uint8_t> aPayload,
+                             const Address& aCaller)
+{
+  mImpl->ResetUnknown(aPayload, aCaller);
+}
+
 Instant
 ServerEndpoint::NextDeadline() const
 {
--- a/src/Quic/ServerEndpointImpl.cpp
+++ b/src/Quic/ServerEndpointImpl.cpp
@@ -194,6 +194,43 @@
   }
 }
 
+bool
+ServerEndpoint::Impl::IssueResetToken(const ngtcp2_cid& aId, uint8_t* aToken)
+{
+  if (!mResetTokens) {
+    return false;
+  }
+  const ResetToken token = mResetTokens({ aId.data, aId.datalen });
+  std::copy(token.begin(), token.end(), aToken);
+  return true;
+}
+
+void
+ServerEndpoint::Impl::ResetUnknown(std::span<const uint8_t> aPayload,
+                                   const Address& aCaller)
+{
+  constexpr uint8_t kLongHeader = 0x80;
+  // Long enough not to stand out, and shorter than what it answers, so that
+  // two endpoints can't reset each other for ever (RFC 9000, 10.3.3).
+  constexpr size_t kResetSize = 42;
+  if (!mResetTokens || aPayload.size() <= kResetSize ||
+      (aPayload[0] & kLongHeader) != 0) {
+    return;
+  }
+  const ResetToken token =
+    mResetTokens(aPayload.subspan(1, kConnectionIdLength));
+  std::array<uint8_t, kResetSize - kResetTokenLength> noise;
+  gnutls_rnd(GNUTLS_RND_NONCE, noise.data(), noise.size());
+  std::array<uint8_t, kResetSize> packet;
+  const ngtcp2_ssize size = ngtcp2_pkt_write_stateless_reset(
+    packet.data(), packet.size(), token.data(), noise.data(), noise.size());
+  if (size > 0) {
+    mSink({ packet.data(), static_cast<size_t>(size) },
+          aCaller,
+          ConnectionHandle());
+  }
+}
+
 Instant
 ServerEndpoint::Impl::NextDeadline() const
 {
--- a/src/Quic/ServerEndpointImpl.h
+++ b/src/Quic/ServerEndpointImpl.h
@@ -63,6 +63,11 @@
   void Flush(Instant aNow);
   void Shutdown(ShutdownStage aStage);
   void Reopen() { mStage = ShutdownStage::None; }
+  void SetResetTokens(ResetTokenIssuer aIssuer)
+  {
+    mResetTokens = std::move(aIssuer);
+  }
+  void ResetUnknown(std::span<const uint8_t> aPayload, const Address& aCaller);
   void Close(ConnectionHandle aFlow, Http3Error aError);
   void CloseAll(Http3Error aError);
   size_t ConnectionCount() const { return mLive; }
@@ -116,6 +121,7 @@
   void OnDrained(Connection& aConnection, Stream& aStream) override;
   void OnGoaway(Connection& /* aConnection */, int64_t /* aId */) override {}
   void IssueId(Connection& aConnection, ngtcp2_cid& aId) override;
+  bool IssueResetToken(const ngtcp2_cid& aId, uint8_t* aToken) override;
   void RetireId(Connection& aConnection, const ngtcp2_cid& aId) override;
 
   Entry* FindEntry(ConnectionHandle aHandle) const;
@@ -130,6 +136,7 @@
   QuicLimits mLimits;
   Address mLocal;
   RouteIdIssuer mIssuer;
+  ResetTokenIssuer mResetTokens;
   DatagramSink mSink;
   ServerEvents& mEvents;
   ShutdownStage mStage = ShutdownStage::None;
--- a/tests/Quic/FakeNetwork.cpp
+++ b/tests/Quic/FakeNetwork.cpp
@@ -1,6 +1,9 @@
 #include "tests/Quic/FakeNetwork.h"
 
 #include <algorithm>
+#include <cstring>
+
+#include <xxhash.h>
 
 namespace snipepost::test {
 
@@ -71,8 +74,25 @@
       }
     });
   };
-  mServer = std::make_unique<ServerEndpoint>(
-    ServerCredentials(), aLimits, mService, issue, sink, *this);
+  mMakeServer = [this, aLimits, issue, sink] {
+    auto server = std::make_unique<ServerEndpoint>(
+      ServerCredentials(), aLimits, mService, issue, sink, *this);
+    server->SetResetTokens([](std::span<const uint8_t> aId) {
+      const XXH128_hash_t hash = XXH3_128bits(aId.data(), aId.size());
+      ResetToken token;
+      static_assert(sizeof hash == sizeof token);
+      std::memcpy(token.data(), &hash, sizeof hash);
+      return token;
+    });
+    return server;
+  };
+  RestartServer();
+}
+
+void
+FakeNetwork::RestartServer()
+{
+  mServer = mMakeServer();
 }
 
 TestCaller&
@@ -136,6 +156,8 @@
     mServer->Refuse(aBytes, aFrom);
   } else if (mServer->Accept(aBytes, aFrom, mNow)) {
     ++mAccepted;
+  } else {
+    mServer->ResetUnknown(aBytes, aFrom);
   }
 }
 
--- a/tests/Quic/FakeNetwork.h
+++ b/tests/Quic/FakeNetwork.h
@@ -98,6 +98,8 @@
   }
   /// Answers every held request with 200 and aSize bytes.
   void Release(size_t aSize);
+  /// Replaces the server by one that knows no connection.
+  void RestartServer();
   /// Gives bytes to the server as if they came from aFrom.
   void Inject(std::span<const uint8_t> aBytes, const Address& aFrom);
 
@@ -149,6 +151,7 @@
   Instant NextEvent() const;
 
   Address mService{ 0x7f000001, 443 };
+  std::function<std::unique_ptr<ServerEndpoint>()> mMakeServer;
   uint32_t mIssued = 0;
   std::vector<std::unique_ptr<TestCaller>> mCallers;
   std::map<RequestHandle, Exchange> mExchanges;
--- a/tests/Quic/ServerEndpointTest.cpp
+++ b/tests/Quic/ServerEndpointTest.cpp
@@ -143,6 +143,20 @@
   BOOST_TEST(caller.mOutcomes[*stream].mEnded);
 }
 
+// Guards against callers that wait for the idle timeout of 30 s after a server
+// was replaced.
+BOOST_AUTO_TEST_CASE(ServerRestarted_StatelessResetEndsTheFlow)
+{
+  FakeNetwork network(9);
+  TestCaller& caller = Connect(network);
+  network.Run(seconds(1));
+  network.RestartServer();
+  BOOST_REQUIRE(caller.Get("/bytes/1000"));
+  network.RunUntil([&] { return caller.mEnd.has_value(); }, seconds(1));
+  BOOST_TEST(caller.mEnd.has_value());
+  BOOST_TEST(AllSettled(caller, 1));
+}
+
 // Guards against a refused caller that waits for its handshake timeout, and
 // against state that a refusal leaves behind.
 BOOST_AUTO_TEST_CASE(Refuse_CallerLearnsAtOnce)
