Repeat a failed exchange or pull of an agent at once

Cause: nothing is sent into a failure domain that is out, so an agent there learns of a document only through its own exchanges, every 5 s. Change: an agent turns to another peer at once when an exchange fails; a failed pull is repeated with back-off, the next peer first. Conclusion: one link of failures is covered; the bound still depends on a live entry instance among the agent's probers or seeds.

--- a/include/snipepost/Membership/DocumentController.h
+++ b/include/snipepost/Membership/DocumentController.h
@@ -51,6 +51,7 @@
   }
 
   void PullFrom(Context& aContext, const Address& aPeer);
+  void PullFailed(Context& aContext, const Address& aPeer);
   void Adopt(Context& aContext, const std::string& aText);
   void ReadStoreWhenDue(Context& aContext);
   void WriteBackWhenDue(Context& aContext);
@@ -64,6 +65,8 @@
   std::optional<Address> mPulling;
   Instant mPullDeadline;
   Instant mNextPull;
+  Backoff mPullDelay;
+  Address mLastFailed;
 
   bool mReading = false;
   Instant mNextRead;
--- a/src/Membership/DocumentController.cpp
+++ b/src/Membership/DocumentController.cpp
@@ -8,8 +8,9 @@
 
 /// A peer that does not answer within this time is given up for another.
 constexpr Duration kPullTimeout = 2s;
-/// Pause after a failed pull, so that a dead peer is not asked in a loop.
-constexpr Duration kPullPause = 100ms;
+/// Bounds of the delay after a failed pull.
+constexpr Duration kPullDelayFirst = 200ms;
+constexpr Duration kPullDelayLimit = 3200ms;
 /// Interval of full reads: bounds the harm of a watch that stalled silently.
 constexpr Duration kReadInterval = 30s;
 constexpr double kReadSpread = 0.2;
@@ -27,6 +28,7 @@
 
 DocumentController::DocumentController(DocumentInspector aInspector)
   : mInspector(std::move(aInspector))
+  , mPullDelay(kPullDelayFirst, kPullDelayLimit)
   , mReadDelay(500ms, 10s)
 {
 }
@@ -47,11 +49,12 @@
 DocumentController::Handle(Context& aContext, const ClockTick&)
 {
   if (mPulling && aContext.mNow >= mPullDeadline) {
-    mAhead.erase(*mPulling);
-    mPulling.reset();
+    PullFailed(aContext, *std::exchange(mPulling, std::nullopt));
   }
   if (!mPulling && !mAhead.empty() && aContext.mNow >= mNextPull) {
-    PullFrom(aContext, mAhead.begin()->first);
+    const auto next = mAhead.upper_bound(mLastFailed);
+    PullFrom(aContext,
+             next == mAhead.end() ? mAhead.begin()->first : next->first);
   }
   ReadStoreWhenDue(aContext);
   WriteBackWhenDue(aContext);
@@ -77,7 +80,7 @@
     return;
   }
   mAhead[aEvent.mWith] = aEvent.mAnswer->mDocument.mGeneration;
-  if (!mPulling) {
+  if (!mPulling && aContext.mNow >= mNextPull) {
     PullFrom(aContext, aEvent.mWith);
   }
 }
@@ -97,12 +100,25 @@
   if (mPulling == aEvent.mFrom) {
     mPulling.reset();
   }
-  mAhead.erase(aEvent.mFrom);
-  if (aEvent.mText) {
-    Adopt(aContext, *aEvent.mText);
+  if (!aEvent.mText) {
+    PullFailed(aContext, aEvent.mFrom);
     return;
   }
-  mNextPull = aContext.mNow + kPullPause;
+  mAhead.erase(aEvent.mFrom);
+  mPullDelay.Reset();
+  Adopt(aContext, *aEvent.mText);
+}
+
+// An agent hears of a greater document every 5 s only, so that a failed pull
+// is repeated until the delay has reached its limit.
+void
+DocumentController::PullFailed(Context& aContext, const Address& aPeer)
+{
+  mLastFailed = aPeer;
+  mNextPull = aContext.mNow + mPullDelay.Next(aContext.mRandom);
+  if (mPullDelay.Bound() == kPullDelayLimit) {
+    mAhead.erase(aPeer);
+  }
 }
 
 void
--- a/src/Membership/ExchangeController.cpp
+++ b/src/Membership/ExchangeController.cpp
@@ -228,6 +228,11 @@
   if (!aEvent.mAnswer) {
     ++aBoard.mCounters.mExchangesFailed;
     mFailed[aEvent.mWith] = aNow + kFailurePause;
+    // An agent's own exchanges are all that reaches it in a failure domain
+    // that is out. Its interval is too long to spend on a dead peer.
+    if (aBoard.mOwn.mRole == InstanceRole::Agent) {
+      mNextExchange = aNow;
+    }
     return;
   }
   Merge(aBoard, *aEvent.mAnswer, aNow);
--- a/tests/Membership/FakeFleet.h
+++ b/tests/Membership/FakeFleet.h
@@ -30,6 +30,10 @@
 {
 public:
   bool mDown = false;
+  /// Added to the time of every answer.
+  Duration mDelay{};
+  /// Watches stay silent until their time limit.
+  bool mWatchesStalled = false;
   /// Number of writes that take effect although their answer is lost.
   unsigned mLoseAnswers = 0;
   uint64_t mRevision = 0;
@@ -103,11 +107,20 @@
   }
 
   Store mStore;
+  /// How often every instance gets a ClockTick.
+  Duration mTick = std::chrono::milliseconds(20);
   MembershipOptions mOptions;
   Duration mDelay = std::chrono::milliseconds(4);
   /// True when packets from the first to the second are lost.
   std::function<bool(const Address&, const Address&)> mCut =
     [](const Address&, const Address&) { return false; };
+  /// Shares of packets and of exchanges that are lost, and of packets that
+  /// arrive twice, in percent; and the greatest extra delay, which reorders.
+  uint64_t mLoss = 0;
+  uint64_t mDuplication = 0;
+  Duration mJitter{};
+  /// Called when the document or the view of an instance has changed.
+  std::function<void(const Address&)> mOnChange = [](const Address&) {};
   /// Total bytes of exchange messages, both ways.
   uint64_t mExchangeBytes = 0;
   uint64_t mDocumentBytes = 0;
@@ -136,9 +149,36 @@
       mOptions, own, InspectText, mSeed * 1000003 + aIndex);
     auto& slot = mCores[own.mAddress];
     slot = std::move(core);
+    ++mLives[own.mAddress];
     return *slot;
   }
 
+  MembershipCore& Start(const InstanceRecord& aOwn)
+  {
+    auto& slot = mCores[aOwn.mAddress];
+    slot = std::make_unique<MembershipCore>(
+      mOptions,
+      aOwn,
+      InspectText,
+      mSeed * 1000003 + aOwn.mAddress.mPort +
+        aOwn.mVersion.mIncarnation.Value() * 7919);
+    mPaused.erase(aOwn.mAddress);
+    ++mLives[aOwn.mAddress];
+    return *slot;
+  }
+
+  bool Live(const Address& aAddress) const
+  {
+    return mCores.contains(aAddress) && !mPaused.contains(aAddress);
+  }
+
+  void Feed(const Address& aTo, const MembershipEvent& aEvent)
+  {
+    for (const auto& effect : mCores.at(aTo)->Handle(aEvent, mNow)) {
+      std::visit([&](const auto& aOne) { Perform(aTo, aOne); }, effect);
+    }
+  }
+
   void Kill(size_t aIndex) { mCores.erase(At(aIndex)); }
   void Pause(size_t aIndex) { mPaused.insert(At(aIndex)); }
   void Resume(size_t aIndex) { mPaused.erase(At(aIndex)); }
@@ -178,24 +218,32 @@
   struct Message
   {
     Address mTo;
+    /// Life of mTo that the message is for; 0 for packets, which any life
+    /// gets.
+    uint64_t mLife = 0;
     std::function<void()> mDeliver;
   };
 
-  bool Live(const Address& aAddress) const
-  {
-    return mCores.contains(aAddress) && !mPaused.contains(aAddress);
-  }
-
   void Advance()
   {
-    mNow += std::chrono::milliseconds(20);
+    mNow += mTick;
+    std::vector<Message> held;
     while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
       auto message = std::move(mQueue.begin()->second);
       mQueue.erase(mQueue.begin());
-      if (Live(message.mTo)) {
+      if (!mCores.contains(message.mTo) ||
+          (message.mLife != 0 && message.mLife != mLives[message.mTo])) {
+        continue;
+      }
+      if (mPaused.contains(message.mTo)) {
+        held.push_back(std::move(message)); // Waits in the socket.
+      } else {
         message.mDeliver();
       }
     }
+    for (Message& message : held) {
+      mQueue.emplace(mNow, std::move(message));
+    }
     std::vector<Address> live;
     for (const auto& [address, core] : mCores) {
       if (Live(address)) {
@@ -210,16 +258,38 @@
 
   void Post(const Address& aTo, Duration aDelay, std::function<void()> aDeliver)
   {
-    mQueue.emplace(mNow + aDelay, Message{ aTo, std::move(aDeliver) });
+    mQueue.emplace(mNow + aDelay,
+                   Message{ aTo, mLives[aTo], std::move(aDeliver) });
   }
 
-  void Feed(const Address& aTo, const MembershipEvent& aEvent)
+  bool Lost() { return mLoss > 0 && mRandom.Below(100) < mLoss; }
+
+  /// Sends a packet of the fabric's kind: lost, late or twice as the faults
+  /// say.
+  void PostPacket(const Address& aTo, const std::function<void()>& aDeliver)
   {
-    for (const auto& effect : mCores.at(aTo)->Handle(aEvent, mNow)) {
-      std::visit([&](const auto& aOne) { Perform(aTo, aOne); }, effect);
+    if (Lost()) {
+      return;
+    }
+    const bool twice = mDuplication > 0 && mRandom.Below(100) < mDuplication;
+    for (int i = twice ? 2 : 1; i > 0; --i) {
+      mQueue.emplace(mNow + NetworkDelay(), Message{ aTo, 0, aDeliver });
     }
   }
 
+  Duration NetworkDelay()
+  {
+    return mDelay +
+           Duration(mRandom.Below(static_cast<uint64_t>(mJitter.count()) + 1));
+  }
+
+  void ReplyFromStore(const Address& aTo, MembershipEvent aEvent)
+  {
+    Post(aTo, mDelay + mStore.mDelay, [this, aTo, event = std::move(aEvent)] {
+      Feed(aTo, event);
+    });
+  }
+
   void Reply(const Address& aTo, MembershipEvent aEvent)
   {
     Post(aTo, mDelay, [this, aTo, event = std::move(aEvent)] {
@@ -234,36 +304,44 @@
     if (mCut(aFrom, target)) {
       return;
     }
-    Post(target, mDelay, [this, aFrom, target] {
+    PostPacket(target, [this, aFrom, target, theirs = GenerationOf(aFrom)] {
       Feed(target, ProbeReceived{ aFrom });
-      const Generation theirs =
-        mCores.at(aFrom)->Board().mDocument.mVersion.mGeneration;
       Feed(target, GenerationSeen{ aFrom, theirs });
-      if (!mCut(target, aFrom)) {
-        Reply(aFrom, ProbeAnswered{ target });
+      if (mCut(target, aFrom)) {
+        return;
       }
+      PostPacket(aFrom, [this, aFrom, target, ours = GenerationOf(target)] {
+        Feed(aFrom, GenerationSeen{ target, ours });
+        Feed(aFrom, ProbeAnswered{ target });
+      });
     });
   }
 
+  Generation GenerationOf(const Address& aAddress) const
+  {
+    return mCores.at(aAddress)->Board().mDocument.mVersion.mGeneration;
+  }
+
   void Perform(const Address& aFrom, const SendExchange& aSend)
   {
     const Address target = aSend.mTo;
-    if (!Live(target) || mCut(aFrom, target) || mCut(target, aFrom)) {
+    if (!Live(target) || Lost() || mCut(aFrom, target) || mCut(target, aFrom)) {
       Reply(aFrom, ExchangeEnded{ target, std::nullopt });
       return;
     }
     CountBytes(aSend.mMessage);
-    Post(target, mDelay, [this, aFrom, target, message = aSend.mMessage] {
-      const auto answer = mCores.at(target)->AnswerExchange(message, mNow);
-      CountBytes(answer);
-      Reply(aFrom, ExchangeEnded{ target, answer });
-    });
+    Post(
+      target, NetworkDelay(), [this, aFrom, target, message = aSend.mMessage] {
+        const auto answer = mCores.at(target)->AnswerExchange(message, mNow);
+        CountBytes(answer);
+        Reply(aFrom, ExchangeEnded{ target, answer });
+      });
   }
 
   void Perform(const Address& aFrom, const PullDocument& aPull)
   {
     const Address target = aPull.mFrom;
-    if (!Live(target) || mCut(aFrom, target) || mCut(target, aFrom)) {
+    if (!Live(target) || Lost() || mCut(aFrom, target) || mCut(target, aFrom)) {
       Reply(aFrom, DocumentFetched{ target, std::nullopt });
       return;
     }
@@ -276,29 +354,33 @@
 
   void Perform(const Address& aFrom, const StoreRead& aRead)
   {
-    Reply(aFrom, mStore.Read(aRead.mKey));
+    ReplyFromStore(aFrom, mStore.Read(aRead.mKey));
   }
 
   void Perform(const Address& aFrom, const StoreWrite& aWrite)
   {
     StoreWriteEnded ended{ aWrite.mKey, StoreOutcome::Unknown, {} };
     ended.mOutcome = mStore.Write(aWrite, ended.mVersion);
-    Reply(aFrom, ended);
+    ReplyFromStore(aFrom, ended);
   }
 
   void Perform(const Address& aFrom, const StoreList& aList)
   {
-    Reply(aFrom, mStore.List(aList.mPrefix, 0));
+    ReplyFromStore(aFrom, mStore.List(aList.mPrefix, 0));
   }
 
   void Perform(const Address& aFrom, const StoreWatch& aWatch)
   {
     ++mStore.mReads;
-    mWatches.push_back({ aFrom, aWatch, mNow + std::chrono::seconds(30) });
+    mWatches.push_back(
+      { aFrom, mLives[aFrom], aWatch, mNow + std::chrono::seconds(25) });
   }
 
-  void Perform(const Address&, const DocumentAdopted&) {}
-  void Perform(const Address&, const ViewChanged&) {}
+  void Perform(const Address& aFrom, const DocumentAdopted&)
+  {
+    mOnChange(aFrom);
+  }
+  void Perform(const Address& aFrom, const ViewChanged&) { mOnChange(aFrom); }
 
   void FireWatches()
   {
@@ -307,12 +389,15 @@
       auto list = mStore.List(watch.mWatch.mPrefix, watch.mWatch.mSince);
       --mStore.mReads; // Counted when the watch was set.
       list.mComplete = false;
-      const bool fires = !list.mObjects.empty() || mNow >= watch.mLimit ||
-                         list.mOutcome != StoreOutcome::Done;
-      if (!fires) {
+      const bool fires =
+        !list.mObjects.empty() || list.mOutcome != StoreOutcome::Done;
+      if (mStore.mWatchesStalled && mNow >= watch.mLimit) {
+        list = { watch.mWatch.mPrefix, StoreOutcome::Unknown, false, 0, {} };
+      }
+      if ((!fires || mStore.mWatchesStalled) && mNow < watch.mLimit) {
         waiting.push_back(watch);
-      } else if (Live(watch.mOwner)) {
-        Reply(watch.mOwner, std::move(list));
+      } else if (watch.mLife == mLives[watch.mOwner]) {
+        ReplyFromStore(watch.mOwner, std::move(list));
       }
     }
     mWatches.insert(mWatches.end(), waiting.begin(), waiting.end());
@@ -328,6 +413,7 @@
   struct Watch
   {
     Address mOwner;
+    uint64_t mLife = 0;
     StoreWatch mWatch;
     Instant mLimit;
   };
@@ -336,6 +422,7 @@
   uint64_t mSeed;
   Instant mNow = Instant(std::chrono::seconds(1000));
   std::map<Address, std::unique_ptr<MembershipCore>> mCores;
+  std::map<Address, uint64_t> mLives;
   std::set<Address> mPaused;
   std::map<Address, uint64_t> mProbes;
   std::multimap<Instant, Message> mQueue;
