--- a/tools/bench/MembershipBench.cpp
+++ b/tools/bench/MembershipBench.cpp
@@ -7,6 +7,7 @@
 #include <malloc.h>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 
 #include <snipepost/Membership/Codec.h>
@@ -29,6 +30,8 @@
 constexpr size_t kFullEntries = 510;
 constexpr size_t kFullAgents = 3500;
 constexpr std::array<size_t, 4> kSizes{ 10, 50, 200, kFullEntries };
+constexpr std::array<size_t, 4> kFleetSizes{ 10, 25, 50, 100 };
+constexpr std::array<size_t, 2> kLargeFleetSizes{ 200, kFullEntries };
 // The platform's limits at the two-year size: "several hundred" writes.
 constexpr uint64_t kReadsPerSecond = 2000;
 constexpr uint64_t kWritesPerSecond = 300;
@@ -554,8 +557,10 @@
   }
 }
 
+namespace {
+
 void
-RunFleet(Report& aReport)
+MeasureFleets(Report& aReport, std::span<const size_t> aSizes)
 {
   Tables tables;
   tables.mStore.StartTable("store, attempted calls",
@@ -582,7 +587,7 @@
                               "within 9 s",
                               "pulls/node",
                               "after the cut s" });
-  for (size_t size : kSizes) {
+  for (size_t size : aSizes) {
     MeasureFleet(size, tables);
   }
   aReport.Append(std::move(tables.mStore));
@@ -590,4 +595,18 @@
   aReport.Append(std::move(tables.mSpread));
 }
 
+} // namespace
+
+void
+RunFleet(Report& aReport)
+{
+  MeasureFleets(aReport, kFleetSizes);
+}
+
+void
+RunLargeFleet(Report& aReport)
+{
+  MeasureFleets(aReport, kLargeFleetSizes);
+}
+
 } // namespace snipepost::bench
--- a/tools/bench/Modes.h
+++ b/tools/bench/Modes.h
@@ -20,4 +20,8 @@
 void
 RunFleet(Report& aReport);
 
+/// The same up to the two-year size; takes many minutes.
+void
+RunLargeFleet(Report& aReport);
+
 } // namespace snipepost::bench
