--- a/src/Daemon/AgentInstance.cpp
+++ b/src/Daemon/AgentInstance.cpp
@@ -58,7 +58,10 @@
 } // namespace
 
 AgentInstance::Counters::Counters(Registry& aRegistry)
-  : mFlowsAccepted(
+  : mFlowPackets(
+      aRegistry.AddCounter("snipepost_flow_packets_total",
+                           "Datagrams of callers that reached this agent."))
+  , mFlowsAccepted(
       aRegistry.AddCounter("snipepost_accepted_flows_total", "Flows accepted."))
   , mHandedOn(aRegistry.AddCounter("snipepost_handed_on_packets_total",
                                    "Packets handed on to another candidate."))
@@ -170,6 +173,7 @@
       mPaths.Heard(aFrom, MonotonicNow());
       [[fallthrough]];
     case PacketType::HandOn:
+      mCounters.mFlowPackets.Add();
       HandleFlowPacket(*packet, aBytes, aFrom);
       return;
     default:
--- a/src/Daemon/AgentInstance.h
+++ b/src/Daemon/AgentInstance.h
@@ -106,6 +106,7 @@
   struct Counters
   {
     explicit Counters(Registry& aRegistry);
+    Counter& mFlowPackets;
     Counter& mFlowsAccepted;
     Counter& mHandedOn;
     Counter& mFlowsRefused;
--- /dev/null
+++ b/tests/Process/Common.sh
@@ -0,0 +1,196 @@
+# Functions of the process tests. A test is called with the folder of the
+# programs and the first port; it ends within its CTest time limit, and all its
+# processes end with it.
+set -euo pipefail
+bin=$1
+base=$2
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+work=$(mktemp -d)
+source "$root/tools/cluster.sh"
+
+# Backend servers of sizing-desk and of pattern-store; server i is in the
+# failure domain (i - 1) % 3 + 1.
+desk_servers=${desk_servers:-6}
+store_servers=${store_servers:-3}
+seed=${SEED:-1}
+failures=0
+
+finish() {
+  local status=$? pid
+  trap - EXIT
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  if [ "$status" -ne 0 ]; then
+    tail -n 4 "$work"/agent*.log "$work"/entry*.log 2>/dev/null || true
+  fi
+  if [ -n "${KEEP:-}" ]; then echo "kept $work"; else rm -rf "$work"; fi
+  exit "$status"
+}
+trap finish EXIT
+trap 'exit 143' INT TERM HUP
+
+servers() { seq $((desk_servers + store_servers)); }
+service_of() { if [ "$1" -le "$desk_servers" ]; then echo 1; else echo 2; fi; }
+
+# deploy [BACKEND FLAG...] starts everything and waits for the first document.
+deploy() {
+  local names=() i
+  start_platform
+  start_fabric --delay-ms 2 --seed "$seed"
+  await_ready platform fabric
+  for i in $(seq "$entries"); do start_entry "$i"; names+=("entry$i"); done
+  for i in $(servers); do start_backend "$i" "$@"; names+=("backend$i"); done
+  for i in $(servers); do
+    start_agent "$i" "$(service_of "$i")"
+    names+=("agent$i")
+  done
+  await_ready "${names[@]}"
+  submit_document >/dev/null
+  await_generation 1 9000
+  # Agents ramp up after their first sight of the document.
+  sleep $((${ramp:-1} + 2))
+}
+
+# start_load SECONDS [FLAG VALUE...]; the flags replace the usual ones.
+start_load() {
+  local journals=() bulk=() i flag flags=() seconds=$1
+  local -A load=([--submissions]=30 [--queries]=60 [--bulk]=1 [--sessions]=0.5
+    [--session-seconds]=4 [--flow-life]=5)
+  shift
+  while [ $# -gt 0 ]; do
+    load[$1]=$2
+    shift 2
+  done
+  for flag in "${!load[@]}"; do flags+=("$flag" "${load[$flag]}"); done
+  for i in $(servers); do
+    if [ "$(service_of "$i")" = 1 ]; then
+      journals+=("$work/backend$i.journal")
+    else
+      bulk+=("$work/backend$i.journal")
+    fi
+  done
+  load_start=$(now_ms)
+  run load "$bin/callers" --service "$service_1" --bulk-service "$service_2" \
+    --seconds "$seconds" --seed "$seed" "${flags[@]}" \
+    --json "$work/load.json" --journals "${journals[@]}" \
+    --bulk-journals "${bulk[@]}"
+}
+
+# await_load waits for the report and prints the table. Journals without any
+# start make the load tool fail.
+await_load() {
+  local status=0
+  wait "${pid_of[load]}" || status=$?
+  cat "$work/load.out" "$work/load.log"
+  expect "exit code of the load tool" "$status" -eq 0
+}
+
+# now_ms is on the clock of the journals (monotonic milliseconds).
+now_ms() { awk '{ printf "%d", $1 * 1000 }' /proc/uptime; }
+
+# expect TEXT VALUE OPERATOR LIMIT
+expect() {
+  local verdict=ok
+  [ "$2" "$3" "$4" ] || {
+    verdict=FAILED
+    failures=$((failures + 1))
+  }
+  echo "$verdict: $1: $2 ($3 $4)"
+}
+
+# result FILTER reads the load tool's report.
+result() { jq -r "$1" "$work/load.json"; }
+
+broken_total() { result '[.classes[].brokenFlows] | add'; }
+
+# No submission ran twice, none was reported wrongly (P5, P6, P7).
+expect_honest() {
+  expect "doubled keys" "$(result .journals.doubledKeys)" -eq 0
+  expect "doubled requests" "$(result .journals.doubledRequests)" -eq 0
+  expect "contradictions" "$(result .journals.contradictions)" -eq 0
+  expect "ok without one start" "$(result .journals.okWithoutOneStart)" -eq 0
+  expect "wrong answers" "$(result '[.classes[].wrong] | add')" -eq 0
+}
+
+expect_unbroken() {
+  expect "broken flows" "$(broken_total)" -eq 0
+  expect "lost flows" "$(result .flows.lost)" -eq 0
+}
+
+# expect_ok PERCENT: least share of each class's requests that are ok.
+expect_ok() {
+  local class
+  for class in submission query bulk session; do
+    expect "ok $class per cent" "$(result ".classes.$class |
+      if .attempted == 0 then 100 else 100 * .ok / .attempted | floor end")" \
+      -ge "$1"
+  done
+}
+
+# starts SERVER FROM [TO] counts the requests started in a time (ms).
+starts() {
+  jq -s --argjson from "$2" --argjson to "${3:-1e18}" '[.[] |
+    select(.event == "started" and .ms >= $from and .ms <= $to)] | length' \
+    "$work/backend$1.journal"
+}
+
+# events SERVER NAME counts the lines of one event.
+events() {
+  jq -s --arg name "$2" '[.[] | select(.event == $name)] | length' \
+    "$work/backend$1.journal"
+}
+
+request() { curl -s -m 3 --http2-prior-knowledge "$@"; }
+fault() { request -d "$2" "http://$1/fault" >/dev/null; }
+
+# metric ADDRESS NAME
+metric() {
+  request "http://$1/metrics" | awk -v name="$2" '$1 == name { print $2 }'
+}
+
+instances() {
+  local i
+  for i in $(seq "$entries"); do entry_address "$i"; done
+  for i in $(servers); do agent_address "$i"; done
+}
+
+store_generation() {
+  request "http://$platform/v1/objects/deployments/demo" |
+    jq -r '.value? // empty | if type == "string" then fromjson else . end |
+      .generation' 2>/dev/null
+}
+
+# behind GENERATION lists the instances that don't report that generation.
+behind() {
+  local address
+  for address in $(instances); do
+    [ "$(metric "$address" snipepost_document_generation)" = "$1" ] ||
+      echo "$address"
+  done
+}
+
+# await_generation GENERATION MS
+await_generation() {
+  local start
+  start=$(now_ms)
+  while [ -n "$(behind "$1")" ] && [ $(($(now_ms) - start)) -lt "$2" ]; do
+    sleep 0.1
+  done
+  expect "instances without generation $1" "$(behind "$1" | wc -l)" -eq 0
+  echo "generation $1 everywhere after $(($(now_ms) - start)) ms"
+}
+
+# await_work SERVER FROM MS waits for a start after FROM and prints the time.
+await_work() {
+  while [ "$(starts "$1" "$2")" -eq 0 ] &&
+    [ $(($(now_ms) - $2)) -lt "$3" ]; do
+    sleep 0.2
+  done
+  expect "starts at server $1 after its return" "$(starts "$1" "$2")" -gt 0
+  echo "server $1 has work after $(($(now_ms) - $2)) ms"
+}
+
+verdict() {
+  echo "failed checks: $failures"
+  [ "$failures" -eq 0 ]
+}
--- /dev/null
+++ b/tests/Process/DomainOut.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# Guards against work or packets at a failure domain that is out, flows broken
+# elsewhere by it, and a return that doesn't bring work back.
+source "$(dirname "$0")/Common.sh"
+deploy
+start_load 34
+sleep 5
+ctl domain out pl-a
+out=$(now_ms)
+sleep 5
+inside=() outside=()
+for i in $(servers); do
+  if [ $(((i - 1) % 3)) = 0 ]; then inside+=("$i"); else outside+=("$i"); fi
+done
+declare -A packets
+for i in "${inside[@]}"; do
+  packets[$i]=$(metric "$(agent_address "$i")" snipepost_flow_packets_total)
+  expect "packets at agent $i before" "${packets[$i]}" -gt 0
+done
+sleep 5
+for i in "${inside[@]}"; do
+  now=$(metric "$(agent_address "$i")" snipepost_flow_packets_total)
+  expect "packets at agent $i from 5 s on" $((now - packets[$i])) -eq 0
+done
+back=$(now_ms)
+ctl domain in pl-a
+for i in "${inside[@]}"; do
+  expect "starts at server $i from 5 s on" \
+    "$(starts "$i" $((out + 5000)) "$back")" -eq 0
+  await_work "$i" "$back" 15000
+done
+await_load
+expect_honest
+for i in "${outside[@]}"; do
+  expect "requests cut short at server $i" \
+    $(($(events "$i" cancelled) + $(events "$i" aborted))) -eq 0
+done
+from=$(((out - load_start) / 1000 - 1))
+expect "flows broken before the change or 5 s after it" \
+  "$(result "[.classes[].seconds | to_entries[] |
+    select(.key < $from or .key > $from + 6) | .value.brokenFlows] | add")" \
+  -eq 0
+echo "flows given up: $(broken_total)"
+verdict
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -3,6 +3,8 @@
 # Ports start at $base; every process writes to a log file in $work.
 base=${base:-20000}
 key=${key:-000102030405060708090a0b0c0d0e0f}
+# Flags with the shared secret, for entry instances and agents.
+key_flags=(--key "$key")
 entries=${entries:-3}
 pids=()
 declare -A pid_of
@@ -13,11 +15,16 @@
 service_1=127.0.0.1:$((base + 11))
 service_2=127.0.0.1:$((base + 12))
 
+# A process must not outlive the shell that started it, even when the shell is
+# killed and its trap doesn't run.
+bind_life=()
+if command -v setpriv >/dev/null; then bind_life=(setpriv --pdeathsig KILL); fi
+
 # run NAME COMMAND... starts a process in the background under a name.
 run() {
   local name=$1
   shift
-  "$@" >"$work/$name.out" 2>>"$work/$name.log" &
+  "${bind_life[@]}" "$@" >"$work/$name.out" 2>>"$work/$name.log" &
   pid_of[$name]=$!
   pids+=("$!")
 }
@@ -64,7 +71,7 @@
   run "entry$1" "$bin/snipepostd" --role entry --deployment demo \
     --listen "$(entry_address "$1")" --store "$platform" \
     --fabric "$fabric" --peers "$(entry_list)" --domain $((($1 - 1) % 3 + 1)) \
-    --key "$key"
+    "${key_flags[@]}"
 }
 
 # start_backend NUMBER [FLAG...] starts the stand-in for a backend server.
@@ -81,7 +88,7 @@
   run "agent$1" "$bin/snipepostd" --role agent --deployment demo \
     --listen "$(agent_address "$1")" --store "$platform" \
     --peers "$(entry_list)" --domain $((($1 - 1) % 3 + 1)) \
-    --service "$2" --backend "$(backend_address "$1")" --key "$key"
+    --service "$2" --backend "$(backend_address "$1")" "${key_flags[@]}"
 }
 
 ctl() {
@@ -101,6 +108,19 @@
   ctl --file "$file" --no-instances submit
 }
 
+# end NAME [SIGNAL] sends a signal (KILL) and waits until the process is gone.
+end() {
+  local pid=${pid_of[$1]} kept=() other
+  kill "-${2:-KILL}" "$pid"
+  wait "$pid" 2>/dev/null || true
+  # The id may be given to another process from now on.
+  for other in "${pids[@]}"; do
+    [ "$other" = "$pid" ] || kept+=("$other")
+  done
+  pids=("${kept[@]}")
+  unset "pid_of[$1]"
+}
+
 # stop_all ends every process that was started here, by its id.
 stop_all() {
   local pid
