--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -24,6 +24,8 @@
 run() {
   local name=$1
   shift
+  # await_ready must not see the "ready" of an earlier process of this name.
+  rm -f "$work/$name.out"
   "${bind_life[@]}" "$@" >"$work/$name.out" 2>>"$work/$name.log" &
   pid_of[$name]=$!
   pids+=("$!")
