--- a/include/snipepost/Admission/Options.h
+++ b/include/snipepost/Admission/Options.h
@@ -107,6 +107,12 @@
   LeaseOptions mLease{};
   /// Queue places per slot.
   uint32_t mQueuePerSlot = 4;
+  /// Slots that bulk requests leave to other classes; they may use at least
+  /// one.
+  uint32_t mSlotsWithoutBulk = 1;
+  /// Refuse a request whose estimated wait exceeds its remaining time. Without
+  /// it, such a request waits in the queue until its deadline.
+  bool mRefuseByEstimate = true;
   Guards mGuards{};
 };
 
--- a/src/Admission/AgentCore.cpp
+++ b/src/Admission/AgentCore.cpp
@@ -258,7 +258,8 @@
 bool
 AgentCore::BulkAllowed() const
 {
-  return mBulkInFlight + 1 < std::max(mConfig.mSlots, 2U);
+  const uint32_t kept = mOptions.mSlotsWithoutBulk;
+  return mBulkInFlight + kept < std::max(mConfig.mSlots, kept + 1);
 }
 
 bool
--- a/src/Admission/AgentCoreRequests.cpp
+++ b/src/Admission/AgentCoreRequests.cpp
@@ -133,7 +133,7 @@
     mQueue.Check({ aArrival.mRequest, aArrival.mClass, aArrival.mDeadline },
                  Limit(aNow),
                  InFlight(),
-                 mServiceTime,
+                 mOptions.mRefuseByEstimate ? mServiceTime : ServiceTime(),
                  aNow);
   if (!refusal) {
     return std::nullopt;
--- a/tools/bench/Main.cpp
+++ b/tools/bench/Main.cpp
@@ -17,14 +17,16 @@
   void (*mRun)(Report&);
 };
 
-constexpr std::array<Mode, 1> kModes{ {
+constexpr std::array<Mode, 3> kModes{ {
   { "routing", "decisions, table rebuilds, moved keys, memory", RunRouting },
+  { "policy", "first-packet policies under load (model)", RunPolicy },
+  { "policy-sweep", "settings of agents under load (model)", RunPolicySweep },
 } };
 
 int
 PrintUsage()
 {
-  std::cerr << "usage: bench MODE [--json]\n";
+  std::cerr << "usage: bench MODE [--json] [--svg FILE]\n";
   for (const Mode& mode : kModes) {
     std::cerr << "  " << mode.mName << "  " << mode.mSummary << '\n';
   }
@@ -37,9 +39,19 @@
 main(int aCount, char** aValues)
 {
   const std::span arguments(aValues, static_cast<size_t>(aCount));
-  const bool json =
-    arguments.size() == 3 && std::string_view(arguments[2]) == "--json";
-  if (arguments.size() != (json ? 3U : 2U)) {
+  Report report;
+  bool json = false;
+  for (size_t i = 2; i < arguments.size(); ++i) {
+    const std::string_view argument = arguments[i];
+    if (argument == "--json") {
+      json = true;
+    } else if (argument == "--svg" && i + 1 < arguments.size()) {
+      report.SetPlotFile(arguments[++i]);
+    } else {
+      return PrintUsage();
+    }
+  }
+  if (arguments.size() < 2) {
     return PrintUsage();
   }
   const auto* mode =
@@ -47,7 +59,6 @@
   if (mode == kModes.end()) {
     return PrintUsage();
   }
-  Report report;
   mode->mRun(report);
   if (json) {
     report.PrintJson(std::cout);
--- a/tools/bench/Modes.h
+++ b/tools/bench/Modes.h
@@ -8,4 +8,12 @@
 void
 RunRouting(Report& aReport);
 
+/// First-packet policies under load, with the defaults.
+void
+RunPolicy(Report& aReport);
+
+/// The settings of agents, one varied at a time.
+void
+RunPolicySweep(Report& aReport);
+
 } // namespace snipepost::bench
--- /dev/null
+++ b/tools/bench/PolicyEntry.cpp
@@ -0,0 +1,109 @@
+#include "tools/bench/PolicyEntry.h"
+
+#include "tools/bench/PolicyWorkload.h"
+
+namespace snipepost::bench {
+
+namespace {
+
+constexpr uint32_t kFirstAgent = 0x7f000101;
+constexpr size_t kDomains = 3;
+const Address kDesk{ 0x7f000001, 443 };
+const Address kStore{ 0x7f000002, 443 };
+
+std::unique_ptr<FirstPacketPolicy>
+MakePolicy(PolicyKind aKind)
+{
+  switch (aKind) {
+    case PolicyKind::Random:
+      return MakeRandomPolicy();
+    case PolicyKind::LeastLoaded:
+      return MakeLeastLoadedPolicy();
+    case PolicyKind::TwoChoices:
+      return MakeTwoChoicesPolicy(std::chrono::seconds(1));
+    case PolicyKind::Table:
+    case PolicyKind::TableChained:
+      return MakeTablePolicy();
+    case PolicyKind::Hunting:
+      break;
+  }
+  return MakeHuntingPolicy();
+}
+
+} // namespace
+
+Address
+AgentAddress(size_t aServer)
+{
+  return { kFirstAgent + static_cast<uint32_t>(aServer), 7000 };
+}
+
+size_t
+ServerOf(const Address& aAgent)
+{
+  return aAgent.mIp - kFirstAgent;
+}
+
+size_t
+DomainOf(size_t aNumber)
+{
+  return aNumber % kDomains;
+}
+
+EntryModel::EntryModel(PolicyKind aKind, uint64_t aSeed)
+  : mKind(aKind)
+  , mPolicy(MakePolicy(aKind))
+  , mHints(kServers)
+  , mRandom(aSeed)
+{
+}
+
+void
+EntryModel::Update(const std::vector<bool>& aEligible, const DomainSet& aOut)
+{
+  std::vector<ServiceView> services{ { ServiceId(1), kDesk, {} },
+                                     { ServiceId(2), kStore, {} } };
+  for (size_t i = 0; i < kServers; ++i) {
+    if (aEligible[i]) {
+      services[i < kDeskServers ? 0 : 1].mEligible.push_back(
+        { .mAgent = AgentAddress(i),
+          .mDomain = DomainId(static_cast<uint8_t>(DomainOf(i))) });
+    }
+  }
+  mSnapshot = RoutingSnapshot::Build(
+    Generation(1), std::move(services), aOut, mSnapshot.get());
+}
+
+void
+EntryModel::Report(const std::vector<double>& aLoads, Instant aNow)
+{
+  for (size_t i = 0; i < kServers; ++i) {
+    mHints[i] = { aLoads[i], aNow };
+  }
+}
+
+Offer
+EntryModel::Choose(bool aToStore, FlowKey aKey, Instant aNow)
+{
+  const ServiceRoutes& routes = *mSnapshot->Find(aToStore ? kStore : kDesk);
+  std::vector<LoadHint> hints;
+  for (const Backend& backend : routes.mCurrent->mBackends) {
+    hints.push_back(mHints[ServerOf(backend.mAgent)]);
+  }
+  Offer offer;
+  offer.mCandidates =
+    mPolicy->Choose({ *routes.mCurrent, hints, aKey, aNow }, mRandom);
+  offer.mPresent = static_cast<uint8_t>(offer.mCandidates.Size());
+  const bool chained =
+    mKind == PolicyKind::TableChained || mKind == PolicyKind::Hunting;
+  if (chained && routes.mPrevious) {
+    const auto previous =
+      mPolicy->Choose({ *routes.mPrevious, {}, aKey, aNow }, mRandom);
+    for (const Address& agent : previous.View()) {
+      offer.mCandidates.Add(agent);
+    }
+  }
+  return offer;
+}
+
+} // namespace snipepost::bench
--- /dev/null
+++ b/tools/bench/PolicyFigures.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "tools/bench/PolicySim.h"
+
+namespace snipepost::bench {
+
+/// Networks of the two users.
+constexpr Site kRekawica{ "Rekawica",
+                          std::chrono::milliseconds(4),
+                          std::chrono::milliseconds(3) };
+constexpr Site kCorrib{ "Corrib",
+                        std::chrono::milliseconds(3),
+                        std::chrono::milliseconds(1) };
+
+/// Seeds 1 to kSeeds; each seed is one workload, the same for every policy.
+constexpr uint64_t kSeeds = 5;
+
+/// Figures of one run. Percentages unless the unit is part of the name.
+enum class Figure : uint8_t
+{
+  BrokenFlows,
+  RefusedFlows,
+  /// Requests of the busiest server of the interactive service over the mean.
+  MaxOverMean,
+  OccupancyP99,
+  NotRun,
+  Unknown,
+  ColdOverloads,
+  GoodPerSecond,
+  /// Slot time of requests answered in time, of all slot time.
+  GoodWork,
+  GoodSubmissions,
+  GoodQueries,
+  GoodBulk,
+  SubmissionP50,
+  SubmissionP99,
+  SubmissionP999,
+  QueryP50,
+  QueryP99,
+  QueryP999,
+  BulkP50,
+  BulkP99,
+  BulkP999,
+  Count
+};
+
+using Figures = std::array<double, static_cast<size_t>(Figure::Count)>;
+
+/// The figures of aOptions for each seed, run on a few threads.
+using SeedFigures = std::vector<Figures>;
+std::vector<SeedFigures>
+RunAllSeeds(const std::vector<SimOptions>& aRuns);
+
+/// One figure of all seeds as "mean (least-greatest)".
+std::string
+MeanAndRange(const std::vector<double>& aValues);
+std::string
+MeanAndRange(const SeedFigures& aSeeds, Figure aFigure);
+
+std::vector<double>
+ValuesOf(const SeedFigures& aSeeds, Figure aFigure);
+
+Figures
+FiguresOf(const SimOptions& aOptions);
+
+} // namespace snipepost::bench
--- /dev/null
+++ b/tools/bench/PolicyServer.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <string>
+
+#include <snipepost/Admission/Events.h>
+
+#include "tools/bench/PolicyWorkload.h"
+
+namespace snipepost::bench {
+
+/// Model of a backend server: its warmth, and the requests that it runs.
+struct ServerModel
+{
+  /// Shorter than the ramp of 20 s, so that the ramp alone keeps the bound.
+  static constexpr Duration kWarmUp = std::chrono::seconds(15);
+  /// A cold server takes four times as long, as in tools/backend.
+  static constexpr double kColdSpeed = 0.25;
+
+  Instant mColdSince{ -kWarmUp };
+  uint64_t mLife = 1;
+  bool mUp = true;
+  std::map<RequestId, uint64_t> mRunning;
+
+  std::string Boot() const { return "boot-" + std::to_string(mLife); }
+
+  double Warmth(Instant aNow) const
+  {
+    const std::chrono::duration<double> elapsed = aNow - mColdSince;
+    const std::chrono::duration<double> whole = kWarmUp;
+    return std::clamp(elapsed / whole, 0.0, 1.0);
+  }
+
+  double Speed(Instant aNow) const
+  {
+    return kColdSpeed + (1 - kColdSpeed) * Warmth(aNow);
+  }
+
+  /// Requests in progress that it bears: 1 when cold, all slots when warm.
+  size_t Bound(Instant aNow) const
+  {
+    return 1 + static_cast<size_t>((kSlots - 1) * Warmth(aNow));
+  }
+};
+
+} // namespace snipepost::bench
--- /dev/null
+++ b/tools/bench/PolicySim.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include <snipepost/Admission/Events.h>
+#include <snipepost/Admission/Options.h>
+
+namespace snipepost::bench {
+
+/// Delays of one user's network, one way.
+struct Site
+{
+  const char* mName;
+  Duration mBetweenDomains;
+  Duration mToCallers;
+};
+
+/// The policies that are compared.
+enum class PolicyKind : uint8_t
+{
+  Random,
+  LeastLoaded,
+  TwoChoices,
+  Table,
+  /// Unknown packets go on to the candidates of the previous table.
+  TableChained,
+  /// Two candidates, and chaining as above.
+  Hunting
+};
+
+enum class Situation : uint8_t
+{
+  Steady,
+  /// A failure domain is out from 5 s to 10 s; its servers return cold.
+  DomainLeaves,
+  /// Server 0 drains at 4 s; servers 1 to 3 restart at 4, 7 and 10 s.
+  RollingCold
+};
+
+struct SimOptions
+{
+  Site mSite;
+  PolicyKind mPolicy = PolicyKind::Hunting;
+  Situation mSituation = Situation::Steady;
+  /// Offered work relative to the capacity of all slots.
+  double mLoad = 0.6;
+  uint64_t mSeed = 1;
+  Duration mLength{};
+  /// Settings of every agent; addresses and incarnations are filled in.
+  AgentOptions mAgent{};
+  AgentConfig mConfig{};
+};
+
+/// Figures of 100 ms.
+struct SimBucket
+{
+  /// Requests answered in time, by the time of the answer.
+  size_t mGood = 0;
+  /// Latencies of submissions and queries, in ms.
+  std::vector<double> mLatencies;
+};
+
+constexpr Duration kBucket = std::chrono::milliseconds(100);
+
+struct SimResult
+{
+  size_t mRequests = 0;
+  size_t mGood = 0;
+  size_t mNotRun = 0;
+  size_t mUnknown = 0;
+  /// Established flows that were closed, and flows whose first flight was
+  /// scattered over agents for good.
+  size_t mBrokenFlows = 0;
+  /// Flows that no agent accepted in 4 attempts.
+  size_t mRefusedFlows = 0;
+  /// Requests that reached a cold server above what it bears.
+  size_t mColdOverloads = 0;
+  /// Slot time of requests answered in time, in seconds.
+  double mGoodWork = 0;
+  std::array<size_t, 3> mGoodByClass{};
+  std::array<size_t, 3> mRequestsByClass{};
+  /// Latencies of answered requests in ms, by class.
+  std::array<std::vector<double>, 3> mLatencies;
+  /// Requests that each server of the interactive service was passed.
+  std::vector<size_t> mPerServer;
+  /// (in progress + queued) / slots of each agent, every 10 ms.
+  std::vector<double> mOccupancy;
+  std::vector<SimBucket> mBuckets;
+};
+
+/// Runs callers, entry instances and servers in virtual time around real agent
+/// cores, policies and snapshots. Deterministic.
+SimResult
+RunPolicySim(const SimOptions& aOptions);
+
+} // namespace snipepost::bench
--- /dev/null
+++ b/tools/bench/PolicySimRequests.cpp
@@ -0,0 +1,189 @@
+#include "tools/bench/PolicySimulation.h"
+
+#include <algorithm>
+
+using namespace std::chrono_literals;
+
+namespace snipepost::bench {
+
+namespace {
+
+constexpr Duration kRefusalTime = 200us;
+
+double
+Milliseconds(Duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
+} // namespace
+
+void
+Simulation::Submit(size_t aFlow, size_t aRequest)
+{
+  FlowModel& flow = mFlows[aFlow];
+  if (mNow >= kStart) {
+    ++mResult.mRequests;
+    ++mResult.mRequestsByClass[static_cast<size_t>(
+      flow.mPlan->mRequests[aRequest].mClass)];
+  }
+  if (flow.mFailed) {
+    mResult.mNotRun += mNow >= kStart ? 1 : 0;
+  } else if (flow.mOpen) {
+    SendRequest(aFlow, aRequest);
+  } else {
+    flow.mWaiting.push_back(aRequest);
+  }
+}
+
+void
+Simulation::SendRequest(size_t aFlow, size_t aRequest)
+{
+  const FlowModel& flow = mFlows[aFlow];
+  const PlannedRequest& plan = flow.mPlan->mRequests[aRequest];
+  const Instant due = flow.mPlan->mOpen + plan.mOffset;
+  const RequestId id(++mLastRequest);
+  const size_t server = flow.mServer;
+  mPending.emplace(id, PendingRequest{ aFlow, &plan, due, server });
+  const Duration time =
+    mOptions.mSite.mToCallers + HopTime(PickEntry(), DomainOf(server));
+  After(time, [this, id, server, aFlow, &plan, due] {
+    const auto owner = std::ranges::find(
+      mOwned[server], aFlow, &std::map<FlowId, size_t>::value_type::second);
+    if (owner == mOwned[server].end()) {
+      // The flow ended on the way; its agent never saw the request.
+      CountOutcome(id, &SimResult::mNotRun);
+      return;
+    }
+    Deliver(
+      server,
+      RequestArrived{ .mRequest = id,
+                      .mFlow = owner->first,
+                      .mClass = plan.mClass,
+                      .mIdempotent = plan.mClass != RequestClass::Submission,
+                      .mDeadline = due + DeadlineOf(plan.mClass) });
+  });
+}
+
+void
+Simulation::Deliver(size_t aServer, const Event& aEvent)
+{
+  for (const Effect& effect : mAgents[aServer].mCore.Handle(aEvent, mNow)) {
+    Apply(aServer, effect);
+  }
+}
+
+void
+Simulation::Apply(size_t aServer, const Effect& aEffect)
+{
+  if (const auto* pass = std::get_if<PassOn>(&aEffect)) {
+    PassRequest(aServer, *pass);
+  } else if (const auto* reject = std::get_if<Reject>(&aEffect)) {
+    CountOutcome(reject->mRequest, &SimResult::mNotRun);
+  } else if (const auto* unknown = std::get_if<AnswerUnknown>(&aEffect)) {
+    CountOutcome(unknown->mRequest, &SimResult::mUnknown);
+  } else if (const auto* cancel = std::get_if<Cancel>(&aEffect)) {
+    const RequestId id = cancel->mRequest;
+    mAgents[aServer].mServer.mRunning.erase(id);
+    At(mNow, [this, aServer, id] {
+      Deliver(
+        aServer,
+        BackendResult{ .mRequest = id, .mOutcome = BackendOutcome::Broken });
+    });
+  } else if (const auto* closed = std::get_if<CloseFlow>(&aEffect)) {
+    CloseFlowOf(aServer, closed->mFlow, true);
+  } else if (std::holds_alternative<SendFinalGoaway>(aEffect)) {
+    std::vector<FlowId> flows;
+    for (const auto& [id, flow] : mOwned[aServer]) {
+      flows.push_back(id);
+    }
+    for (const FlowId flow : flows) {
+      CloseFlowOf(aServer, flow, false);
+    }
+  }
+}
+
+void
+Simulation::PassRequest(size_t aServer, const PassOn& aEffect)
+{
+  ServerModel& server = mAgents[aServer].mServer;
+  const RequestId id = aEffect.mRequest;
+  const uint64_t run = ++mLastRun;
+  if (aServer < kDeskServers) {
+    ++mResult.mPerServer[aServer];
+  }
+  const bool overloads = server.mRunning.size() >= server.Bound(mNow);
+  const auto outcome =
+    overloads ? BackendOutcome::Refused : BackendOutcome::Answered;
+  mResult.mColdOverloads += overloads ? 1 : 0;
+  Duration time = kRefusalTime;
+  if (!overloads) {
+    time = std::chrono::duration_cast<Duration>(mPending.at(id).mPlan->mWork /
+                                                server.Speed(mNow));
+  }
+  // A refused request occupies its place until the refusal is sent.
+  server.mRunning[id] = run;
+  After(time, [this, aServer, id, run, outcome] {
+    auto& running = mAgents[aServer].mServer.mRunning;
+    const auto found = running.find(id);
+    if (found != running.end() && found->second == run) {
+      running.erase(found);
+      Finish(aServer, id, outcome);
+    }
+  });
+}
+
+void
+Simulation::Finish(size_t aServer, RequestId aRequest, BackendOutcome aOutcome)
+{
+  if (aOutcome == BackendOutcome::Answered) {
+    const Duration back =
+      HopTime(DomainOf(aServer), PickEntry()) + mOptions.mSite.mToCallers;
+    After(back, [this, aRequest] { Answer(aRequest); });
+  }
+  Deliver(aServer, BackendResult{ .mRequest = aRequest, .mOutcome = aOutcome });
+}
+
+void
+Simulation::Answer(RequestId aRequest)
+{
+  const auto found = mPending.find(aRequest);
+  if (found == mPending.end()) {
+    return;
+  }
+  const PendingRequest pending = found->second;
+  mPending.erase(found);
+  if (pending.mDue < kStart) {
+    return;
+  }
+  const auto kind = static_cast<size_t>(pending.mPlan->mClass);
+  const double latency = Milliseconds(mNow - pending.mDue);
+  mResult.mLatencies[kind].push_back(latency);
+  const auto number = static_cast<size_t>((mNow - kStart) / kBucket);
+  const bool counted = number < mResult.mBuckets.size();
+  if (counted && pending.mPlan->mClass != RequestClass::Bulk) {
+    mResult.mBuckets[number].mLatencies.push_back(latency);
+  }
+  if (mNow - pending.mDue <= DeadlineOf(pending.mPlan->mClass)) {
+    ++mResult.mGood;
+    ++mResult.mGoodByClass[kind];
+    mResult.mGoodWork += Milliseconds(pending.mPlan->mWork) / 1000;
+    if (counted) {
+      ++mResult.mBuckets[number].mGood;
+    }
+  }
+}
+
+void
+Simulation::CountOutcome(RequestId aRequest, size_t SimResult::*aCounter)
+{
+  // Callers learn of it some milliseconds later, which no figure depends on.
+  const auto found = mPending.find(aRequest);
+  if (found == mPending.end()) {
+    return;
+  }
+  mResult.*aCounter += found->second.mDue >= kStart ? 1 : 0;
+  mPending.erase(found);
+}
+
+} // namespace snipepost::bench
--- /dev/null
+++ b/tools/bench/PolicySimulation.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include <snipepost/Admission/AgentCore.h>
+#include <snipepost/Base/Random.h>
+
+#include "tools/bench/PolicyEntry.h"
+#include "tools/bench/PolicyServer.h"
+#include "tools/bench/PolicySim.h"
+#include "tools/bench/PolicyWorkload.h"
+
+namespace snipepost::bench {
+
+/// Begin of the counted time.
+constexpr Instant kStart{ std::chrono::seconds(100) };
+/// Longer than most sessions, so that the load is even from kStart on.
+constexpr Duration kWarmUp = std::chrono::seconds(10);
+constexpr size_t kEntries = 3;
+constexpr size_t kNoServer = kServers;
+
+struct AgentModel
+{
+  AgentCore mCore;
+  ServerModel mServer{};
+};
+
+struct FlowModel
+{
+  const PlannedFlow* mPlan = nullptr;
+  /// Counts openings; packets of earlier ones are void.
+  uint64_t mConnection = 0;
+  size_t mServer = kNoServer;
+  uint32_t mAttempts = 0;
+  bool mOpen = false;
+  bool mEstablished = false;
+  bool mFailed = false;
+  std::vector<size_t> mWaiting{};
+};
+
+/// A request whose caller waits for an outcome.
+struct PendingRequest
+{
+  size_t mFlow;
+  const PlannedRequest* mPlan;
+  Instant mDue;
+  size_t mServer = kNoServer;
+};
+
+/// One run; see RunPolicySim().
+class Simulation
+{
+public:
+  explicit Simulation(const SimOptions& aOptions);
+  SimResult Run();
+
+private:
+  using Action = std::function<void()>;
+  struct Scheduled
+  {
+    Instant mAt;
+    uint64_t mOrder;
+    Action mAction;
+    bool operator<(const Scheduled& aOther) const
+    {
+      return std::tie(aOther.mAt, aOther.mOrder) < std::tie(mAt, mOrder);
+    }
+  };
+
+  void At(Instant aTime, Action aAction);
+  void After(Duration aTime, Action aAction)
+  {
+    At(mNow + aTime, std::move(aAction));
+  }
+  void StartCounting();
+  void Plan();
+  void PlanSituation();
+  void PlanRestart(size_t aServer, Instant aTime);
+  void ChangeDomain(bool aOut);
+  void UpdateEntries();
+  void Configure(size_t aServer, const AgentConfig& aConfig);
+  void Sample();
+  void ReportLoads();
+
+  void Open(size_t aFlow);
+  void SendOpening(size_t aFlow, uint32_t aFlight);
+  void ArriveOpening(size_t aFlow,
+                     uint64_t aConnection,
+                     const Offer& aOffer,
+                     uint8_t aIndex,
+                     uint8_t aHops);
+  void Accepted(size_t aFlow, size_t aServer);
+  void Refused(size_t aFlow);
+  void SendSecond(size_t aFlow, uint64_t aConnection, uint32_t aFlight);
+  void ArriveSecond(size_t aFlow,
+                    uint64_t aConnection,
+                    const Offer& aOffer,
+                    uint8_t aIndex,
+                    uint8_t aHops);
+  void Established(size_t aFlow, uint64_t aConnection);
+  void Fail(size_t aFlow);
+  void Reopen(size_t aFlow);
+  /// Ends the present connection without another one.
+  void Close(size_t aFlow);
+
+  void Submit(size_t aFlow, size_t aRequest);
+  void SendRequest(size_t aFlow, size_t aRequest);
+  void Deliver(size_t aServer, const Event& aEvent);
+  void Apply(size_t aServer, const Effect& aEffect);
+  void PassRequest(size_t aServer, const PassOn& aEffect);
+  void Finish(size_t aServer, RequestId aRequest, BackendOutcome aOutcome);
+  void Answer(RequestId aRequest);
+  void CountOutcome(RequestId aRequest, size_t SimResult::*aCounter);
+  void CloseFlowOf(size_t aServer, FlowId aFlow, bool aBroken);
+  Duration HopTime(size_t aDomainA, size_t aDomainB) const;
+  FlowKey KeyOf(const FlowModel& aFlow) const;
+  size_t PickEntry() { return mSpray.Below(kEntries); }
+
+  SimOptions mOptions;
+  Instant mNow = kStart - kWarmUp;
+  uint64_t mOrder = 0;
+  std::priority_queue<Scheduled> mQueue;
+  std::vector<PlannedFlow> mWorkload;
+  std::vector<FlowModel> mFlows;
+  std::vector<EntryModel> mEntries;
+  std::vector<AgentModel> mAgents;
+  std::vector<bool> mEligible = std::vector<bool>(kServers, true);
+  DomainSet mOut;
+  /// Open flows of each agent, by the agent's number of them.
+  std::vector<std::map<FlowId, size_t>> mOwned{ kServers };
+  std::map<RequestId, PendingRequest> mPending;
+  uint64_t mLastFlow = 0;
+  uint64_t mLastRequest = 0;
+  uint64_t mLastRun = 0;
+  Random mSpray;
+  SimResult mResult;
+};
+
+} // namespace snipepost::bench
--- a/tools/bench/Report.h
+++ b/tools/bench/Report.h
@@ -2,6 +2,7 @@
 
 #include <ostream>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -17,6 +18,10 @@
   void StartTable(std::string aName, std::vector<std::string> aColumns);
   void AddRow(std::vector<Cell> aCells);
 
+  /// Where a mode that can draw writes its SVG; empty when not wanted.
+  void SetPlotFile(std::string aFile) { mPlotFile = std::move(aFile); }
+  const std::string& PlotFile() const { return mPlotFile; }
+
   /// Plain text with aligned columns.
   void PrintText(std::ostream& aOut) const;
 
@@ -34,6 +39,7 @@
   static void PrintSection(const Section& aSection, std::ostream& aOut);
 
   std::vector<Section> mSections;
+  std::string mPlotFile;
 };
 
 } // namespace snipepost::bench
