--- a/tools/bench/Main.cpp
+++ b/tools/bench/Main.cpp
@@ -17,18 +17,20 @@
   void (*mRun)(Report&);
 };
 
-constexpr std::array<Mode, 5> kModes{ {
+constexpr std::array<Mode, 7> kModes{ {
   { "routing", "decisions, table rebuilds, moved keys, memory", RunRouting },
   { "relay", "packets through the entry path and a bare relay", RunRelay },
   { "membership", "costs of one membership core", RunMembership },
   { "fleet", "membership cores in virtual time", RunFleet },
   { "fleet-large", "the same up to 510 entry instances", RunLargeFleet },
+  { "policy", "first-packet policies under load (model)", RunPolicy },
+  { "policy-sweep", "settings of agents under load (model)", RunPolicySweep },
 } };
 
 int
 PrintUsage()
 {
-  std::cerr << "usage: bench MODE [--json]\n";
+  std::cerr << "usage: bench MODE [--json] [--svg FILE]\n";
   for (const Mode& mode : kModes) {
     std::cerr << "  " << mode.mName << "  " << mode.mSummary << '\n';
   }
@@ -41,9 +43,19 @@
 main(int aCount, char** aValues)
 {
   const std::span arguments(aValues, static_cast<size_t>(aCount));
-  const bool json =
-    arguments.size() == 3 && std::string_view(arguments[2]) == "--json";
-  if (arguments.size() != (json ? 3U : 2U)) {
+  Report report;
+  bool json = false;
+  for (size_t i = 2; i < arguments.size(); ++i) {
+    const std::string_view argument = arguments[i];
+    if (argument == "--json") {
+      json = true;
+    } else if (argument == "--svg" && i + 1 < arguments.size()) {
+      report.SetPlotFile(arguments[++i]);
+    } else {
+      return PrintUsage();
+    }
+  }
+  if (arguments.size() < 2) {
     return PrintUsage();
   }
   const auto* mode =
@@ -51,7 +63,6 @@
   if (mode == kModes.end()) {
     return PrintUsage();
   }
-  Report report;
   mode->mRun(report);
   if (json) {
     report.PrintJson(std::cout);
--- a/tools/bench/Modes.h
+++ b/tools/bench/Modes.h
@@ -24,4 +24,12 @@
 void
 RunLargeFleet(Report& aReport);
 
+/// First-packet policies under load, with the defaults.
+void
+RunPolicy(Report& aReport);
+
+/// The settings of agents, one varied at a time.
+void
+RunPolicySweep(Report& aReport);
+
 } // namespace snipepost::bench
--- a/tools/bench/Report.h
+++ b/tools/bench/Report.h
@@ -2,6 +2,7 @@
 
 #include <ostream>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -20,6 +21,10 @@
   /// Adds the tables of another report.
   void Append(Report aOther);
 
+  /// Where a mode that can draw writes its SVG; empty when not wanted.
+  void SetPlotFile(std::string aFile) { mPlotFile = std::move(aFile); }
+  const std::string& PlotFile() const { return mPlotFile; }
+
   /// Plain text with aligned columns.
   void PrintText(std::ostream& aOut) const;
 
@@ -37,6 +42,7 @@
   static void PrintSection(const Section& aSection, std::ostream& aOut);
 
   std::vector<Section> mSections;
+  std::string mPlotFile;
 };
 
 } // namespace snipepost::bench
