Membership: store watchers per region, rarer document reads elsewhere

Cause: the four watchers were chosen over all regions. When all of them were in a region that lost the store and its peers, the other region followed the store by its periodic reads only, which exceeds the 9 s of P10. Each region now has four watchers.

Every process also read the whole document every 30 s: 4,010 / 30 = 134 reads/s, and 33 KB/s at each for a document of 1 MB against a budget of 8 KB/s. Only watchers still do; the others read every 600 s (6.7 reads/s together, 1.7 KB/s each at 1 MB) and learn of documents from peers.

--- a/include/snipepost/Membership/Blackboard.h
+++ b/include/snipepost/Membership/Blackboard.h
@@ -135,6 +135,16 @@
 size_t
 OwnRank(const Blackboard& aBoard, uint64_t aKey);
 
+/// Number of entry instances of each region that watch the store; the others
+/// learn from them by exchange. Independent of the fleet, so that the store's
+/// load is too. Per region, because a region that is cut off must not take all
+/// watchers with it.
+constexpr size_t kStoreWatchers = 4;
+
+/// True when this instance is one of those that watch the store.
+bool
+WatchesStore(const Blackboard& aBoard);
+
 /// True when other instances may send packets to this one unasked: its failure
 /// domain is in.
 bool
--- a/include/snipepost/Membership/ViewController.h
+++ b/include/snipepost/Membership/ViewController.h
@@ -12,10 +12,6 @@
 /// Number of parts of the view that are compared by digest.
 constexpr size_t kViewBuckets = 64;
 
-/// Number of entry instances that watch the store; the others learn from them
-/// by exchange. Independent of the fleet, so that the store's load is too.
-constexpr size_t kStoreWatchers = 4;
-
 /// Merges records and votes from the store and from peers into the view, and
 /// drops those whose lease has lapsed. Runs in entry instances.
 class ViewController : public Controller
--- a/src/Membership/Blackboard.cpp
+++ b/src/Membership/Blackboard.cpp
@@ -19,14 +19,18 @@
   return left != right ? left > right : aLeft < aRight;
 }
 
+namespace {
+
+template<typename Filter>
 size_t
-OwnRank(const Blackboard& aBoard, uint64_t aKey)
+OwnRankAmong(const Blackboard& aBoard, uint64_t aKey, Filter aFilter)
 {
   size_t rank = 0;
   for (const auto& [address, member] : aBoard.mMembers) {
     const bool counts = member.mRecord.mRole == InstanceRole::Entry &&
                         member.mRecord.mState != InstanceState::Left &&
                         address != aBoard.mOwn.mAddress &&
+                        aFilter(member.mRecord) &&
                         !aBoard.mSuspects.contains(address);
     if (counts && RanksBefore(aKey, address, aBoard.mOwn.mAddress)) {
       ++rank;
@@ -35,6 +39,27 @@
   return rank;
 }
 
+} // namespace
+
+size_t
+OwnRank(const Blackboard& aBoard, uint64_t aKey)
+{
+  return OwnRankAmong(aBoard, aKey, [](const InstanceRecord&) { return true; });
+}
+
+bool
+WatchesStore(const Blackboard& aBoard)
+{
+  if (aBoard.mOwn.mRole != InstanceRole::Entry) {
+    return false;
+  }
+  const auto own = [&](const InstanceRecord& aRecord) {
+    return aRecord.mRegion == aBoard.mOwn.mRegion;
+  };
+  const uint64_t key = RankKey(aBoard.mOptions.mDeployment);
+  return OwnRankAmong(aBoard, key, own) < kStoreWatchers;
+}
+
 bool
 MayContact(const Blackboard& aBoard, const InstanceRecord& aRecord)
 {
--- a/src/Membership/DocumentController.cpp
+++ b/src/Membership/DocumentController.cpp
@@ -11,7 +11,11 @@
 /// Pause after a failed pull, so that a dead peer is not asked in a loop.
 constexpr Duration kPullPause = 100ms;
 /// Interval of full reads: bounds the harm of a watch that stalled silently.
+/// The entry instances that watch the store also notice here that it lost the
+/// document; a read of 1 MB every 30 s is 33 KB/s, so the others, which learn
+/// of documents from peers, read less often.
 constexpr Duration kReadInterval = 30s;
+constexpr Duration kOtherReadInterval = 600s;
 constexpr double kReadSpread = 0.2;
 /// Wait between one rank and the next before a lost document is written back,
 /// so that usually one instance writes.
@@ -156,7 +160,10 @@
   }
   mReadDelay.Succeeded();
   mNextRead =
-    aContext.mNow + aContext.mRandom.Jittered(kReadInterval, kReadSpread);
+    aContext.mNow + aContext.mRandom.Jittered(WatchesStore(aContext.mBoard)
+                                                ? kReadInterval
+                                                : kOtherReadInterval,
+                                              kReadSpread);
   ObserveStored(aContext,
                 aEvent.mOutcome == StoreOutcome::Done
                   ? std::optional(aEvent.mObject)
--- a/src/Membership/ViewController.cpp
+++ b/src/Membership/ViewController.cpp
@@ -188,8 +188,7 @@
   if (aSource.mInFlight || aNow < aSource.mNextCall) {
     return;
   }
-  const bool watches =
-    OwnRank(aBoard, RankKey(aBoard.mOptions.mDeployment)) < kStoreWatchers;
+  const bool watches = WatchesStore(aBoard);
   const bool list = !aSource.mListed || aNow >= aSource.mNextList;
   if (!list && !watches) {
     return;
--- a/tests/Membership/FleetTest.cpp
+++ b/tests/Membership/FleetTest.cpp
@@ -1,5 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <set>
+
 #include <tests/Membership/FakeFleet.h>
 
 #include <snipepost/Membership/HealthController.h>
@@ -300,6 +303,45 @@
   BOOST_TEST(fleet.ProbesTo(3) > entry);
 }
 
+// Guards against a region that reaches the store but leaves the watching to
+// instances that are cut off.
+BOOST_AUTO_TEST_CASE(P10_RegionCutOff_OtherRegionStillFollowsTheStore)
+{
+  constexpr size_t kEntries = 12;
+  Fleet fleet(kSeed);
+  std::vector<Address> ranked;
+  for (size_t i = 0; i < kEntries; ++i) {
+    ranked.push_back(Fleet::At(i));
+  }
+  const uint64_t key = RankKey(fleet.mOptions.mDeployment);
+  std::sort(ranked.begin(),
+            ranked.end(),
+            [key](const Address& aLeft, const Address& aRight) {
+              return RanksBefore(key, aLeft, aRight);
+            });
+  const std::set<Address> far(ranked.begin(), ranked.begin() + kEntries / 2);
+  fleet.mRegionOf = [&](const Address& aAddress) {
+    return static_cast<uint8_t>(far.contains(aAddress));
+  };
+  StartEntries(fleet, kEntries);
+  Submit(fleet, 1);
+  fleet.RunUntil(kInForce, [&] { return fleet.AllHold(1); });
+  fleet.Run(60s);
+  fleet.mCut = [&](const Address& aFrom, const Address& aTo) {
+    return far.contains(aFrom) != far.contains(aTo);
+  };
+  fleet.mStoreCut = [&](const Address& aAddress) {
+    return far.contains(aAddress);
+  };
+  fleet.Run(30s);
+  Submit(fleet, 2);
+  fleet.Run(kInForce);
+  for (const auto& [address, core] : fleet.Cores()) {
+    const uint64_t held = core->Board().mDocument.mVersion.mGeneration.Value();
+    BOOST_TEST(held == (far.contains(address) ? 1U : 2U));
+  }
+}
+
 // Guards against regions that disagree for good after they lost each other.
 BOOST_AUTO_TEST_CASE(P10_RegionsApart_ViewsAndDocumentConvergeAfterwards)
 {
