--- /dev/null
+++ b/tools/bench/AgentBench.cpp
@@ -0,0 +1,152 @@
+#include "tools/bench/Modes.h"
+
+#include <array>
+#include <malloc.h>
+#include <vector>
+
+#include <snipepost/Admission/AgentCore.h>
+
+#include "tests/Quic/FakeNetwork.h"
+
+#include "tools/bench/Timing.h"
+
+namespace snipepost::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr uint64_t kSeed = 8105;
+constexpr std::array<size_t, 5> kFlows{ 100, 500, 1000, 2000, 2700 };
+constexpr std::array<size_t, 5> kHeld{ 4, 10, 100, 1000, 10000 };
+const KeyRing kKeys(SecretKey{ 1 });
+const Address kAgent{ 0x7f000001, 4433 };
+
+/// Heap bytes of the server side of idle connections that made one request,
+/// and the time of a request in callers and server together.
+void
+MeasureFlows(Report& aReport, size_t aCount)
+{
+  constexpr double kNsPerUs = 1e3;
+  QuicLimits limits;
+  limits.mConnections = aCount;
+  limits.mIdleTimeout = 10min;
+  test::FakeNetwork network(kSeed, limits);
+  std::vector<test::TestCaller*> callers;
+  const double handshakes = TimeNs([&] {
+    for (size_t i = 0; i < aCount; ++i) {
+      callers.push_back(&network.AddCaller());
+      // Handshakes in groups: the endpoint sheds a flood of them.
+      if (i % 50 == 49) {
+        network.Run(200ms);
+      }
+    }
+    network.RunUntil([&] { return network.mOpen.size() == aCount; }, 10s);
+  });
+  const double requests = TimeNs([&] {
+    for (size_t i = 0; i < aCount; ++i) {
+      callers[i]->Get("/bytes/1000");
+      if (i % 50 == 49) {
+        network.Run(50ms);
+      }
+    }
+    network.Run(2s);
+  });
+  network.Run(5s);
+  const double done = static_cast<double>(network.mDone);
+  const auto open = static_cast<double>(network.mServer->ConnectionCount());
+  const size_t with = mallinfo2().uordblks + mallinfo2().hblkhd;
+  network.mServer.reset();
+  const size_t without = mallinfo2().uordblks + mallinfo2().hblkhd;
+  const auto bytes = static_cast<double>(with - without);
+  constexpr double kMib = 1 << 20;
+  const auto count = static_cast<double>(aCount);
+  aReport.AddRow({ count,
+                   open,
+                   bytes / open,
+                   bytes / kMib,
+                   handshakes / count / kNsPerUs,
+                   done,
+                   requests / done / kNsPerUs });
+}
+
+/// Time of one request through AgentCore while others wait for another agent's
+/// slot, by number of requests held.
+void
+MeasureCore(Report& aReport, size_t aHeld)
+{
+  Instant now(100s);
+  AgentOptions options;
+  options.mAddress = kAgent;
+  options.mIncarnation = Incarnation(5);
+  options.mQueuePerSlot = 1;
+  AgentConfig config;
+  config.mSlots = static_cast<uint32_t>(aHeld);
+  AgentCore core(options, config, kKeys, now);
+  core.OnLease({ now + 24h }, now);
+  BackendState state;
+  state.mReachable = true;
+  state.mBoot = "one";
+  core.OnBackendState(state, now);
+  now += 1min;
+  uint64_t next = 0;
+  const auto arrive = [&] {
+    RequestArrived request;
+    request.mRequest = RequestId(++next);
+    request.mFlow = FlowId(1);
+    request.mDeadline = now + 1h;
+    core.OnRequest(request, now);
+  };
+  while (core.Load(now).mInFlight + 1 < aHeld) {
+    arrive();
+    if (next > 2 * aHeld) {
+      break;
+    }
+  }
+  const auto request = TimeBatches(200, 10, [&](size_t) {
+    arrive();
+    BackendResult result;
+    result.mRequest = RequestId(next);
+    core.OnBackendResult(result, now);
+  });
+  const auto tick = TimeBatches(200, 10, [&](size_t) { core.OnTick({}, now); });
+  FirstPacket first;
+  const auto hunting =
+    TimeBatches(200, 10, [&](size_t) { core.OnFirstPacket(first, now); });
+  aReport.AddRow({ static_cast<double>(aHeld),
+                   static_cast<double>(core.Load(now).mInFlight),
+                   request.mMedian,
+                   request.mP99,
+                   tick.mMedian,
+                   hunting.mMedian });
+}
+
+} // namespace
+
+void
+RunAgent(Report& aReport)
+{
+  aReport.StartTable("QUIC endpoint, idle connections",
+                     { "connections",
+                       "open",
+                       "heap bytes each",
+                       "heap MB",
+                       "handshake us, both ends",
+                       "requests",
+                       "request us, both ends" });
+  for (size_t count : kFlows) {
+    MeasureFlows(aReport, count);
+  }
+  aReport.StartTable("AgentCore",
+                     { "held",
+                       "in flight",
+                       "request and result ns",
+                       "p99 ns",
+                       "tick ns",
+                       "first packet ns" });
+  for (size_t held : kHeld) {
+    MeasureCore(aReport, held);
+  }
+}
+
+} // namespace snipepost::bench
--- a/tools/bench/Modes.h
+++ b/tools/bench/Modes.h
@@ -24,4 +24,12 @@
 void
 RunLargeFleet(Report& aReport);
 
+/// Memory of QUIC connections at an agent and time of its core's events.
+void
+RunAgent(Report& aReport);
+
+/// Size of the document and time to write and parse it.
+void
+RunDocument(Report& aReport);
+
 } // namespace snipepost::bench
