--- a/include/snipepost/Membership/DocumentController.h
+++ b/include/snipepost/Membership/DocumentController.h
@@ -5,8 +5,8 @@
 #include <optional>
 #include <string>
 
+#include <snipepost/Base/Backoff.h>
 #include <snipepost/Membership/Controller.h>
-#include <snipepost/Membership/RetryDelay.h>
 
 namespace snipepost {
 
@@ -51,6 +51,7 @@
   }
 
   void PullFrom(Context& aContext, const Address& aPeer);
+  void PullFailed(Context& aContext, const Address& aPeer);
   void Adopt(Context& aContext, const std::string& aText);
   void ReadStoreWhenDue(Context& aContext);
   void WriteBackWhenDue(Context& aContext);
@@ -64,10 +65,12 @@
   std::optional<Address> mPulling;
   Instant mPullDeadline;
   Instant mNextPull;
+  Backoff mPullDelay;
+  Address mLastFailed;
 
   bool mReading = false;
   Instant mNextRead;
-  RetryDelay mReadDelay;
+  Backoff mReadDelay;
 
   /// When this instance restores the document in a store that has lost it.
   std::optional<Instant> mWriteBackAt;
--- a/src/Daemon/DaemonSettings.cpp
+++ b/src/Daemon/DaemonSettings.cpp
@@ -36,46 +36,39 @@
 
 namespace {
 
-/// Collects faults, at most one for each setting: a value that could not be
-/// parsed would otherwise be reported as missing too.
-class Faults
+/// Collects faults of settings that could be read.
+class Checker
 {
 public:
-  explicit Faults(std::vector<std::string>& aErrors)
+  explicit Checker(std::vector<std::string>& aErrors)
     : mErrors(aErrors)
+    , mUnreadable(aErrors)
   {
   }
 
-  bool Reported(const std::string& aName) const
+  void Require(bool aHolds, const std::string& aName, const char* aText)
   {
-    const std::string start = "--" + aName + " ";
-    return std::any_of(
-      mErrors.begin(), mErrors.end(), [&](const std::string& aError) {
-        return aError.starts_with(start);
+    const std::string flag = "--" + aName + " ";
+    const bool reported =
+      std::ranges::any_of(mUnreadable, [&](const std::string& aError) {
+        return aError.starts_with(flag);
       });
-  }
-
-  void Require(const std::string& aName, bool aHolds, const std::string& aText)
-  {
-    if (!aHolds && !Reported(aName)) {
-      mErrors.push_back("--" + aName + " " + aText);
+    if (!aHolds && !reported) {
+      mErrors.push_back(flag + aText);
     }
   }
 
   template<typename Number>
-  void AtMost(const std::string& aName, uint64_t aValue)
+  void RequireRange(const char* aName, uint64_t aValue)
   {
     constexpr uint64_t kMax = std::numeric_limits<Number>::max();
-    Require(aName, aValue <= kMax, "must be at most " + std::to_string(kMax));
-  }
-
-  void Positive(const std::string& aName, std::chrono::milliseconds aTime)
-  {
-    Require(aName, aTime.count() > 0, "must be above 0");
+    const std::string text = "must be at most " + std::to_string(kMax);
+    Require(aValue <= kMax, aName, text.c_str());
   }
 
 private:
   std::vector<std::string>& mErrors;
+  const std::vector<std::string> mUnreadable;
 };
 
 } // namespace
@@ -151,33 +144,33 @@
 }
 
 void
-CheckTogether(const DaemonSettings& aSettings,
-              std::vector<std::string>& aErrors)
+CheckTogether(const DaemonSettings& aSettings, SettingsReport& aReport)
 {
-  Faults faults(aErrors);
   const bool agent = aSettings.mRole == InstanceRole::Agent;
-  const bool entry = !agent && !faults.Reported("role");
-  faults.AtMost<uint8_t>("domain", aSettings.mDomain);
-  faults.AtMost<uint8_t>("region", aSettings.mRegion);
-  faults.AtMost<uint16_t>("service", aSettings.mService);
-  faults.Require("key", aSettings.mKey.has_value(), "is missing");
-  faults.Require("key-slot", aSettings.mKeySlot <= 1, "must be 0 or 1");
-  faults.Require("service",
-                 !agent || aSettings.mService > 0,
-                 "is missing: an agent serves one service");
-  faults.Require("backend",
-                 !agent || aSettings.mBackend.has_value(),
-                 "is missing: an agent needs one");
-  faults.Require("fabric",
-                 !entry || !aSettings.mFabric.empty(),
-                 "is missing: an entry instance needs one");
-  faults.Require("certificate",
-                 aSettings.mCertificate.empty() ==
-                   aSettings.mPrivateKey.empty(),
-                 "and --private-key go together");
-  faults.Positive("lease-ms", aSettings.mLease);
-  faults.Positive("probe-interval-ms", aSettings.mProbeInterval);
-  faults.Positive("exchange-interval-ms", aSettings.mExchangeInterval);
+  Checker check(aReport.mErrors);
+  check.RequireRange<uint8_t>("domain", aSettings.mDomain);
+  check.RequireRange<uint8_t>("region", aSettings.mRegion);
+  check.RequireRange<uint16_t>("service", aSettings.mService);
+  check.Require(aSettings.mKey.has_value(), "key", "is missing");
+  check.Require(aSettings.mKeySlot <= 1, "key-slot", "must be 0 or 1");
+  check.Require(!agent || aSettings.mService != 0,
+                "service",
+                "is missing: an agent serves one service");
+  check.Require(
+    !agent || aSettings.mBackend, "backend", "is missing: an agent needs one");
+  check.Require(agent || !aSettings.mFabric.empty(),
+                "fabric",
+                "is missing: an entry instance needs one");
+  check.Require(aSettings.mCertificate.empty() == aSettings.mPrivateKey.empty(),
+                "certificate",
+                "and --private-key go together");
+  check.Require(aSettings.mLease.count() != 0, "lease-ms", "must be above 0");
+  check.Require(aSettings.mProbeInterval.count() != 0,
+                "probe-interval-ms",
+                "must be above 0");
+  check.Require(aSettings.mExchangeInterval.count() != 0,
+                "exchange-interval-ms",
+                "must be above 0");
 }
 
 } // namespace snipepost
--- a/src/Daemon/EntryInstance.cpp
+++ b/src/Daemon/EntryInstance.cpp
@@ -1,7 +1,8 @@
 #include <src/Daemon/EntryInstance.h>
 
 #include <src/Daemon/MembershipMetrics.h>
-#include <src/Daemon/SnapshotBuilder.h>
+
+#include <snipepost/View/SnapshotBuilder.h>
 
 namespace snipepost {
 
