Retry a refused submission within the retry budget

Ruled out: keeping the rejection because it needs no trust in the refusal. The agent trusts it anyway when it tells the caller that nothing ran, and the caller then sends the submission again, only later. Change: a non-idempotent request is passed on again while every attempt so far was refused, within the budget.

--- a/include/snipepost/Admission/Options.h
+++ b/include/snipepost/Admission/Options.h
@@ -21,7 +21,7 @@
   bool mColdOnBreak = true;
   /// Sheds and deadline misses lower the limit.
   bool mAdaptiveLimit = true;
-  /// A non-idempotent request is passed on once.
+  /// A non-idempotent request is passed on again only after refusals.
   bool mPassOnOnce = true;
   /// Duplicates of a key are recognized.
   bool mIdempotencyTable = true;
--- a/src/Admission/AgentCoreRequests.cpp
+++ b/src/Admission/AgentCoreRequests.cpp
@@ -204,10 +204,12 @@
   const bool wanted = !aRequest.mSettled && !aRequest.mCancelled &&
                       !aEvent.mResponseStarted &&
                       aEvent.mOutcome != BackendOutcome::TimedOut;
-  // A refused submission isn't retried either: passing it on once at most is
-  // the only rule that needs no trust in the refusal.
+  // A refusal states that nothing ran. The agent relies on it anyway when it
+  // rejects the request, because the caller then sends it again.
+  const bool refused =
+    aEvent.mOutcome == BackendOutcome::Refused && !aRequest.mMayHaveRun;
   const bool harmless =
-    aRequest.mArrival.mIdempotent || !mOptions.mGuards.mPassOnOnce;
+    aRequest.mArrival.mIdempotent || refused || !mOptions.mGuards.mPassOnOnce;
   if (!wanted || !harmless || DomainIsOut() ||
       mDrain.Current() == DrainState::Phase::Emptying ||
       aRequest.mAttempts >= mOptions.mRetry.mMaxAttempts ||
