--- a/tools/check.sh
+++ b/tools/check.sh
@@ -9,6 +9,9 @@
 echo "== clang-format"
 clang-format --dry-run --Werror "${sources[@]}"
 
+echo "== fault matrix"
+tools/fault-matrix.py --check
+
 echo "== build"
 cmake -S . -B build -G Ninja >/dev/null
 cmake --build build -- -j "$jobs"
--- /dev/null
+++ b/tools/fault-matrix.py
@@ -0,0 +1,172 @@
+#!/usr/bin/env python3
+"""Writes docs/FAULT-MATRIX.md from the names of the tests, or checks it.
+
+  fault-matrix.py            writes the page
+  fault-matrix.py --check    fails when the page is not up to date
+
+A test case belongs to the matrix when its name starts with labels such as
+"P4_" or "P1_P8_". The rest of the name decides its columns by the patterns in
+tools/fault-matrix.conf; a case whose name cannot say all of them is listed
+there under [also]. Both modes fail when a labelled case has no column, a named
+case does not exist, or a cell has neither a test nor a reason. Standard
+library only.
+"""
+import pathlib
+import re
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "FAULT-MATRIX.md"
+CONF = ROOT / "tools" / "fault-matrix.conf"
+CASE = re.compile(r"BOOST_(?:AUTO|FIXTURE|DATA)_TEST_CASE\(\s*(\w+)")
+SEED = re.compile(r"\bk\w*Seed\s*=\s*(\w+);")
+TABLES = ("faults", "steps")
+
+
+def read_conf():
+    conf = {}
+    section = None
+    for line in CONF.read_text().splitlines():
+        line = line.strip()
+        if not line or line.startswith("#"):
+            continue
+        if line.startswith("["):
+            section = conf.setdefault(line.strip("[]"), [])
+        else:
+            section.append([part.strip() for part in line.split("|", 2)])
+    return conf
+
+
+def read_tests():
+    tests = {}
+    for path in sorted((ROOT / "tests").rglob("*.cpp")):
+        text = path.read_text()
+        cmake = path.parent / "CMakeLists.txt"
+        program = re.search(r"snipepost_test\(\s*(\w+)", cmake.read_text()
+                            if cmake.exists() else "")
+        suite = re.search(r"BOOST_\w+_TEST_SUITE\(\s*(\w+)", text)
+        seed = SEED.search(text)
+        for case in CASE.findall(text):
+            labels = re.match(r"((?:P\d+_)+)(.*)", case)
+            if not program or not labels:
+                continue
+            name = f"{program[1]}/{suite[1] if suite else '-'}/{case}"
+            tests[name] = {
+                "rows": labels[1].strip("_").split("_"),
+                "words": labels[2],
+                "seed": seed[1] if seed else None,
+            }
+    return tests
+
+
+def place(conf, tests, errors):
+    """Adds to each test the columns that its name or [also] gives it."""
+    also = {}
+    known = {row[0] for table in TABLES for row in conf[table]}
+    for row in conf["also"]:
+        columns = row[1].split()
+        also.setdefault(row[0], []).extend(columns)
+        errors += [f"[also] {row[0]}: no column {column}"
+                   for column in columns if column not in known]
+    cases = {name.split("/")[-1] for name in tests}
+    errors += [f"[also] names {case}, which does not exist"
+               for case in also if case not in cases]
+    for name, test in tests.items():
+        columns = set(also.get(name.split("/")[-1], []))
+        for table in TABLES:
+            for key, _, pattern in conf[table]:
+                if pattern != "-" and re.search(pattern, test["words"]):
+                    columns.add(key)
+        test["columns"] = columns
+        if not columns:
+            errors.append(f"{name}: no column; name the fault or add it to "
+                          "[also]")
+
+
+def reasons_of(conf):
+    """Reason by (row, column); later lines win, * stands for all."""
+    rows = [row[0] for row in conf["invariants"]]
+    columns = [row[0] for table in TABLES for row in conf[table]]
+    reasons = {}
+    for where, which, text in conf["reasons"]:
+        for row in rows if where == "*" else where.split():
+            for column in columns if which == "*" else which.split():
+                reasons[row, column] = text
+    return reasons
+
+
+def render(conf, tests, errors):
+    names = sorted(tests)
+    number = {name: f"T{i + 1}" for i, name in enumerate(names)}
+    reasons = reasons_of(conf)
+    used = []
+    counts = {"test": 0, "not proved": 0, "cannot occur": 0}
+
+    def cell(row, column):
+        found = [number[n] for n in names
+                 if row in tests[n]["rows"] and column in tests[n]["columns"]]
+        if found:
+            counts["test"] += 1
+            return " ".join(found)
+        reason = reasons.get((row, column))
+        if reason is None:
+            errors.append(f"{row} x {column}: neither test nor reason")
+            return "?"
+        counts[reason.split(":")[0]] += 1
+        if reason not in used:
+            used.append(reason)
+        kind = "N" if reason.startswith("not proved") else "C"
+        return f"{kind}{used.index(reason) + 1}"
+
+    lines = [
+        "# Fault matrix", "",
+        "Written by `tools/fault-matrix.py` from the names of the tests and "
+        "`tools/fault-matrix.conf`; do not edit. `tools/check.sh` fails when "
+        "it is out of date.", "",
+        "Cells: `T` a test, `N` not proved, `C` cannot occur; the numbers are "
+        "explained below the tables.", "",
+        "## Invariants", ""]
+    for key, text in conf["invariants"]:
+        lines.append(f"- {key} {text}")
+        if not any(key in tests[n]["rows"] for n in names):
+            errors.append(f"{key}: empty row")
+    keys = [row[0] for row in conf["invariants"]]
+    for table, title in (("faults", "Faults"), ("steps", "Steps")):
+        lines += ["", f"## {title}", "",
+                  "| | " + " | ".join(row[1] for row in conf[table]) + " |",
+                  "|---|" + "---|" * len(conf[table])]
+        for key in keys:
+            lines.append(f"| {key} | " + " | ".join(
+                cell(key, row[0]) for row in conf[table]) + " |")
+    lines += ["", "## Tests", ""]
+    for name in names:
+        seed = tests[name]["seed"]
+        lines.append(f"- {number[name]} `{name}`" +
+                     (f", seed {seed}" if seed else ""))
+    lines += ["", "## Reasons", ""]
+    for i, reason in enumerate(used):
+        kind = "N" if reason.startswith("not proved") else "C"
+        lines.append(f"- {kind}{i + 1} {reason}")
+    lines += ["", f"{counts['test']} cells with a test, "
+              f"{counts['not proved']} not proved, "
+              f"{counts['cannot occur']} cannot occur."]
+    return "\n".join(lines) + "\n"
+
+
+def main():
+    conf, tests, errors = read_conf(), read_tests(), []
+    place(conf, tests, errors)
+    page = render(conf, tests, errors)
+    if "--check" in sys.argv[1:]:
+        if not PAGE.exists() or PAGE.read_text() != page:
+            errors.append("docs/FAULT-MATRIX.md is out of date; run "
+                          "tools/fault-matrix.py")
+    else:
+        PAGE.write_text(page)
+    for error in errors:
+        print(f"fault-matrix: {error}", file=sys.stderr)
+    return 1 if errors else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -7,7 +7,7 @@
   libboost-program-options1.81-dev libboost-json1.81-dev
   libboost-test1.81-dev libnghttp2-dev libnghttp3-dev libngtcp2-dev
   libngtcp2-crypto-gnutls-dev libgnutls28-dev libsodium-dev libxxhash-dev
-  librapidcheck-dev
+  librapidcheck-dev python3
 )
 missing=()
 for package in "${packages[@]}"; do
