--- a/include/snipepost/Membership/Blackboard.h
+++ b/include/snipepost/Membership/Blackboard.h
@@ -29,6 +29,8 @@
   InstanceRecord mRecord;
   /// When the record stops counting unless it is renewed.
   Instant mLeaseEnd;
+  /// Part of the record in the digests of the view.
+  uint64_t mHash = 0;
 };
 
 /// What an instance knows of the platform's object API.
@@ -136,6 +138,11 @@
   MembershipCounters mCounters;
 };
 
+/// Weight of an address in the rendezvous order for aKey; the greatest is
+/// first.
+uint64_t
+RankWeight(uint64_t aKey, const Address& aAddress);
+
 /// True when aLeft sorts before aRight in the rendezvous order for aKey
 /// (Thaler and Ravishankar, 1998): every instance computes the same order.
 bool
--- a/src/Daemon/Main.cpp
+++ b/src/Daemon/Main.cpp
@@ -98,7 +98,7 @@
     std::cout << HelpText("snipepostd", schema.Specs());
     return 0;
   }
-  CheckTogether(settings, report.mErrors);
+  CheckTogether(settings, report);
   if (report.mRequest == SettingsRequest::Check) {
     std::cout << CheckText(report);
     return report.mErrors.empty() ? 0 : kExitBadSettings;
--- a/tests/Matrix/FleetSteps.cpp
+++ b/tests/Matrix/FleetSteps.cpp
@@ -114,6 +114,15 @@
                       });
 }
 
+rc::Gen<FleetSchedule>
+FleetScheduleOf(const std::vector<FleetAction>& aActions)
+{
+  return rc::gen::container<FleetSchedule>(
+    20,
+    StepOf(rc::gen::weightedOneOf<FleetAction>(
+      { { 2, rc::gen::elementOf(aActions) }, { 1, Traffic() } })));
+}
+
 void
 FleetWorld::Do(const FleetStep& aStep)
 {
--- a/tests/Matrix/GuardTest.cpp
+++ b/tests/Matrix/GuardTest.cpp
@@ -1,10 +1,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <vector>
 
 #include <tests/Matrix/Checkers.h>
+#include <tests/Matrix/FleetWorld.h>
 #include <tests/Matrix/Schedule.h>
 #include <tests/Matrix/World.h>
 
@@ -75,6 +77,46 @@
     { Action::StreamBreak, Action::Refusals, Action::Request } },
 };
 
+struct FleetGuardCase
+{
+  const char* mName;
+  std::function<void(FleetGuards&)> mOff;
+  const char* mLabel;
+  std::vector<FleetAction> mActions;
+};
+
+using F = FleetAction;
+const std::vector<FleetGuardCase> kFleetCases{
+  { "ServiceCheck",
+    [](FleetGuards& aGuards) { aGuards.mRouting.mServiceCheck = false; },
+    "P2",
+    { F::Open, F::Advance } },
+  { "DomainCheck",
+    [](FleetGuards& aGuards) { aGuards.mRouting.mDomainCheck = false; },
+    "P4",
+    { F::Open, F::AgentFrozen, F::DomainOut, F::AdvanceLong } },
+  { "PreviousCandidates",
+    [](FleetGuards& aGuards) { aGuards.mRouting.mPreviousCandidates = false; },
+    "P1",
+    { F::Open, F::Drain, F::Advance } },
+  { "PanicThreshold",
+    [](FleetGuards& aGuards) { aGuards.mView.mPanicThreshold = false; },
+    "P1",
+    { F::AgentFrozen, F::AdvanceLong } },
+  { "NeverReverts",
+    [](FleetGuards& aGuards) { aGuards.mMembership.mNeverReverts = false; },
+    "P10",
+    { F::Touch, F::UpdatesTwice, F::Advance } },
+  { "WriteBack",
+    [](FleetGuards& aGuards) { aGuards.mMembership.mWriteBack = false; },
+    "P10",
+    { F::Touch, F::StoreEmpty, F::Advance } },
+  { "VoteMajority",
+    [](FleetGuards& aGuards) { aGuards.mMembership.mVoteMajority = false; },
+    "P1",
+    { F::LinkOneWay, F::AdvanceLong } },
+};
+
 /// Whether a run breaks the rule with the label.
 bool
 Breaks(const Guards& aGuards, const Schedule& aSchedule, const char* aLabel)
@@ -113,4 +155,28 @@
   }
 }
 
+// The same for the rules of routing, views and membership.
+BOOST_AUTO_TEST_CASE(EveryFleetGuardIsMissed)
+{
+  BOOST_TEST_MESSAGE("seed " << kSeed);
+  for (const FleetGuardCase& each : kFleetCases) {
+    FleetGuards guards;
+    each.mOff(guards);
+    const auto schedules = FleetScheduleOf(each.mActions);
+    rc::Random random(kSeed);
+    bool missed = false;
+    for (int i = 0; i < 100 && !missed; ++i) {
+      const FleetSchedule schedule = schedules(random.split()).value();
+      for (const Violation& violation : FleetWorld(guards).Run(schedule)) {
+        missed = missed || violation.mLabel == each.mLabel;
+      }
+      if (missed) {
+        BOOST_TEST(FleetWorld().Run(schedule).empty(), each.mName);
+        BOOST_TEST_MESSAGE(each.mName << " missed by schedule " << i);
+      }
+    }
+    BOOST_TEST(missed, each.mName << " off, but " << each.mLabel << " holds");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
