--- a/tests/Matrix/FleetWorld.h
+++ b/tests/Matrix/FleetWorld.h
@@ -22,6 +22,16 @@
 
 namespace snipepost::matrix {
 
+inline const KeyRing kKeys(SecretKey{ 4, 2 });
+constexpr Duration kFewSeconds = std::chrono::seconds(5);
+
+/// Where callers send the packets for a service.
+inline Address
+AddressOf(ServiceId aService)
+{
+  return { 0x7f010000U + aService.Value(), 443 };
+}
+
 /// Kinds of steps: traffic and time, planned changes, then faults.
 enum class FleetAction : uint8_t
 {
@@ -84,6 +94,11 @@
 rc::Gen<FleetSchedule>
 FleetScheduleWith(FleetAction aFirst, FleetAction aSecond);
 
+/// A schedule with many steps of the given kinds, for showing that a check
+/// notices a missing guard.
+rc::Gen<FleetSchedule>
+FleetScheduleOf(const std::vector<FleetAction>& aActions);
+
 /// Rules to switch off, of all modules that take part.
 struct FleetGuards
 {
@@ -127,6 +142,14 @@
     std::map<FlowId, Flow> mFlows;
     Instant mConfirmed{};
   };
+  /// The first flight of a flow, for packets of it that come later.
+  struct Flight
+  {
+    Flow mFlow;
+    Address mVia;
+    Address mOwner;
+    std::shared_ptr<const BackendPool> mPool;
+  };
   enum class End : uint8_t
   {
     Delivered,
@@ -169,6 +192,7 @@
                const Flow& aFlow,
                bool aInitial);
   void SendAll();
+  void SendLate();
   void SendFlow(const Address& aEntry, const Flow& aFlow);
 
   // Checks.
@@ -176,6 +200,7 @@
   bool Strict(Duration aTime) const;
   void CheckAccepted(const Address& aAgent);
   void CheckDocuments();
+  void CheckView();
   void CheckRecovered();
 
   FleetGuards mGuards;
@@ -205,6 +230,8 @@
   std::set<FleetAction> mActive;
   std::set<std::pair<Address, Address>> mCuts;
 
+  std::vector<Flight> mFlights;
+
   size_t mOpened = 0;
   size_t mRouted = 0;
   std::vector<Violation> mViolations;
--- a/tests/Membership/FakeFleet.h
+++ b/tests/Membership/FakeFleet.h
@@ -125,6 +125,13 @@
   /// True when packets from the first to the second are lost.
   std::function<bool(const Address&, const Address&)> mCut =
     [](const Address&, const Address&) { return false; };
+  /// Shares of packets and of exchanges that are lost, and of packets that
+  /// arrive twice, in percent; and the greatest extra delay, which reorders.
+  uint64_t mLoss = 0;
+  uint64_t mDuplication = 0;
+  Duration mJitter{};
+  /// Called when the document or the view of an instance has changed.
+  std::function<void(const Address&)> mOnChange = [](const Address&) {};
   /// True when the instance can't reach the store.
   std::function<bool(const Address&)> mStoreCut = [](const Address&) {
     return false;
@@ -143,13 +150,6 @@
   std::function<void(const Address&, const MembershipEvent*, Duration)>
     mOnHandled;
   std::function<Duration()> mClock;
-  /// Shares of packets and of exchanges that are lost, and of packets that
-  /// arrive twice, in percent; and the greatest extra delay, which reorders.
-  uint64_t mLoss = 0;
-  uint64_t mDuplication = 0;
-  Duration mJitter{};
-  /// Called when the document or the view of an instance has changed.
-  std::function<void(const Address&)> mOnChange = [](const Address&) {};
   /// Total bytes of exchange messages, both ways.
   uint64_t mExchangeBytes = 0;
   uint64_t mDocumentBytes = 0;
@@ -264,8 +264,8 @@
 
   void Advance()
   {
-    mNow += mStep;
     std::vector<Message> held;
+    mNow += mStep;
     while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
       auto message = std::move(mQueue.begin()->second);
       mQueue.erase(mQueue.begin());
@@ -442,17 +442,19 @@
       auto list = mStore.List(watch.mWatch.mPrefix, watch.mWatch.mSince);
       --mStore.mReads; // Counted when the watch was set.
       list.mComplete = false;
-      const bool cut = mStoreCut(watch.mOwner);
-      const bool fires =
-        !list.mObjects.empty() || list.mOutcome != StoreOutcome::Done || cut;
-      if (mStore.mWatchesStalled && mNow >= watch.mLimit) {
+      const bool over = mNow >= watch.mLimit;
+      const bool answers = !list.mObjects.empty() ||
+                           list.mOutcome != StoreOutcome::Done ||
+                           mStoreCut(watch.mOwner);
+      if (mStore.mWatchesStalled) {
         list = { watch.mWatch.mPrefix, StoreOutcome::Unknown, false, 0, {} };
       }
-      if (cut) {
+      const bool fires = over || (answers && !mStore.mWatchesStalled);
+      if (mStoreCut(watch.mOwner)) {
         list.mOutcome = StoreOutcome::Refused;
         list.mObjects.clear();
       }
-      if ((!fires || mStore.mWatchesStalled) && mNow < watch.mLimit) {
+      if (!fires) {
         waiting.push_back(watch);
       } else if (watch.mLife == mLives[watch.mOwner]) {
         ReplyFromStore(watch.mOwner, std::move(list));
--- a/tests/Membership/FleetTest.cpp
+++ b/tests/Membership/FleetTest.cpp
@@ -46,6 +46,51 @@
   return count;
 }
 
+/// An agent dies and its lease in the store ends. Returns how often an entry
+/// instance took the record up again.
+size_t
+LoseAgent(Fleet& aFleet)
+{
+  StartEntries(aFleet, 5);
+  aFleet.Start(1000, InstanceRole::Agent);
+  aFleet.Run(10s);
+  aFleet.Kill(1000);
+  aFleet.mStore.mObjects.erase("endpoints/1/" + ToString(Fleet::At(1000)));
+  size_t revivals = 0;
+  std::map<Address, size_t> sizes;
+  for (int second = 0; second < 400; ++second) {
+    aFleet.Run(1s);
+    for (const auto& [address, core] : aFleet.Cores()) {
+      const size_t size = core->Board().mMembers.size();
+      revivals += size > sizes[address] && sizes[address] > 0 ? 1 : 0;
+      sizes[address] = size;
+    }
+  }
+  return revivals;
+}
+
+bool
+MayActAfterPause(Fleet& aFleet)
+{
+  aFleet.Pause(1000);
+  aFleet.Run(120s);
+  return aFleet.Core(1000).MayAct(aFleet.Now());
+}
+
+/// An agent is frozen, replaced at its address, and resumed.
+void
+BringBackEarlierLife(Fleet& aFleet)
+{
+  StartEntries(aFleet, 1);
+  aFleet.Start(1000, InstanceRole::Agent, 5);
+  aFleet.Run(10s);
+  auto earlier = std::move(aFleet.Cores().at(Fleet::At(1000)));
+  aFleet.Start(1000, InstanceRole::Agent, 6);
+  aFleet.Run(120s);
+  std::swap(earlier, aFleet.Cores().at(Fleet::At(1000)));
+  aFleet.Run(40s);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FleetTest)
@@ -170,12 +215,7 @@
 BOOST_AUTO_TEST_CASE(P1_AgentGone_RecordIsDroppedForGood)
 {
   Fleet fleet(kSeed);
-  StartEntries(fleet, 5);
-  fleet.Start(1000, InstanceRole::Agent);
-  fleet.Run(10s);
-  fleet.Kill(1000);
-  fleet.mStore.mObjects.erase("endpoints/1/" + ToString(Fleet::At(1000)));
-  fleet.Run(400s);
+  BOOST_TEST(LoseAgent(fleet) == 0U);
   for (const auto& [address, core] : fleet.Cores()) {
     BOOST_TEST(core->Board().mMembers.size() == 5U);
     BOOST_TEST(core->Board().mDigest == fleet.Core(0).Board().mDigest);
@@ -191,9 +231,7 @@
   auto& agent = fleet.Start(1000, InstanceRole::Agent);
   fleet.Run(10s);
   BOOST_TEST(agent.MayAct(fleet.Now()));
-  fleet.Pause(1000);
-  fleet.Run(120s);
-  BOOST_TEST(!agent.MayAct(fleet.Now()));
+  BOOST_TEST(!MayActAfterPause(fleet));
   fleet.Resume(1000);
   fleet.Run(5s);
   BOOST_TEST(agent.MayAct(fleet.Now()));
@@ -203,18 +241,32 @@
 BOOST_AUTO_TEST_CASE(P7_FrozenAndReplaced_EarlierLifeIsFenced)
 {
   Fleet fleet(kSeed);
-  StartEntries(fleet, 1);
-  fleet.Start(1000, InstanceRole::Agent, 5);
-  fleet.Run(10s);
-  auto earlier = std::move(fleet.Cores().at(Fleet::At(1000)));
-  fleet.Start(1000, InstanceRole::Agent, 6);
-  fleet.Run(120s);
-  std::swap(earlier, fleet.Cores().at(Fleet::At(1000)));
-  fleet.Run(40s);
+  BringBackEarlierLife(fleet);
   BOOST_TEST(!fleet.Core(1000).MayAct(fleet.Now()));
   BOOST_TEST(fleet.Core(1000).Superseded());
 }
 
+// Guards against the three cases above passing without the rules that they
+// are about.
+BOOST_AUTO_TEST_CASE(EveryGuardIsMissed)
+{
+  Fleet forgetful(kSeed);
+  forgetful.mOptions.mGuards.mDropMemory = false;
+  BOOST_TEST(LoseAgent(forgetful) > 0U);
+
+  Fleet unleased(kSeed);
+  unleased.mOptions.mGuards.mLease = false;
+  StartEntries(unleased, 1);
+  unleased.Start(1000, InstanceRole::Agent);
+  unleased.Run(10s);
+  BOOST_TEST(MayActAfterPause(unleased));
+
+  Fleet unfenced(kSeed);
+  unfenced.mOptions.mGuards.mFencing = false;
+  BringBackEarlierLife(unfenced);
+  BOOST_TEST(unfenced.Core(1000).MayAct(unfenced.Now()));
+}
+
 // Guards against a renewal whose lost answer locks the agent out of its own
 // record.
 BOOST_AUTO_TEST_CASE(P8_LostAnswer_AnnouncementIsSettledByReadingBack)
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -15,6 +15,9 @@
 step clang-format
 clang-format --dry-run --Werror "${sources[@]}"
 
+step "fault matrix"
+tools/fault-matrix.py --check
+
 step build
 cmake -S . -B build -G Ninja >/dev/null
 cmake --build build -- -j "$jobs"
