Process tests: drain and shut down a server with open sessions

The tests choose the backend server that has most sessions open and require that one of them ends well in the meantime. A backend server is named by the address of its agent, as in its announcement.

--- a/tests/Process/AgentTerminated.sh
+++ b/tests/Process/AgentTerminated.sh
@@ -6,15 +6,20 @@
 # Short flows, so that the new agent soon is a candidate for one.
 start_load 32 --flow-life 1.5 --sessions 2
 sleep 4
-for i in 1 $((desk_servers + 1)); do
+first_desk=$(server_in_session)
+began=$(now_ms)
+for i in "$first_desk" $((desk_servers + 1)); do
   start=$(now_ms)
   end "agent$i" TERM
+  if [ "$i" = "$first_desk" ]; then left=$(now_ms); fi
   expect "ms until agent $i has left" $(($(now_ms) - start)) -le 10000
   start_agent "$i" "$(service_of "$i")"
   await_ready "agent$i"
   await_work "$i" "$(now_ms)" 12000
 done
 await_load
+expect "sessions finished at server $first_desk during the shutdown" \
+  "$(finished_sessions "$first_desk" "$began" "$left")" -gt 0
 expect_unbroken
 expect_honest
 expect_ok 95
--- a/tests/Process/BackendDrained.sh
+++ b/tests/Process/BackendDrained.sh
@@ -4,20 +4,24 @@
 source "$(dirname "$0")/Common.sh"
 deploy
 first_store=$((desk_servers + 1))
+# Backend servers are announced under the address of their agent.
 start_load 32 --session-seconds 8 --sessions 1 --bulk 2 --bulk-bytes 3000000
 sleep 6
-ctl backend drain sizing-desk "$(backend_address 1)"
-ctl backend drain pattern-store "$(backend_address "$first_store")"
+first_desk=$(server_in_session)
+ctl backend drain sizing-desk "$(agent_address "$first_desk")"
+ctl backend drain pattern-store "$(agent_address "$first_store")"
 drained=$(now_ms)
 sleep 11
 readmitted=$(now_ms)
-ctl backend admit sizing-desk "$(backend_address 1)"
-ctl backend admit pattern-store "$(backend_address "$first_store")"
+ctl backend admit sizing-desk "$(agent_address "$first_desk")"
+ctl backend admit pattern-store "$(agent_address "$first_store")"
 await_load
 expect_unbroken
 expect_honest
 expect_ok 95
-for i in 1 "$first_store"; do
+expect "sessions finished at server $first_desk during the drain" \
+  "$(finished_sessions "$first_desk" "$drained" "$readmitted")" -gt 0
+for i in "$first_desk" "$first_store"; do
   expect "starts at server $i before the drain" \
     "$(starts "$i" "$load_start" "$drained")" -gt 0
   expect "starts at server $i from 5 s after the drain" \
--- a/tests/Process/Common.sh
+++ b/tests/Process/Common.sh
@@ -142,6 +142,28 @@
     "$work/backend$1.journal"
 }
 
+# open_sessions SERVER counts the sessions that have started and not ended.
+open_sessions() {
+  jq -s '[.[] | select((.path // "") | startswith("/session"))] |
+    group_by([.boot, .job]) | map(select(length == 1 and
+      .[0].event == "started")) | length' "$work/backend$1.journal"
+}
+
+# finished_sessions SERVER FROM TO counts the sessions that ended well in a
+# time (ms).
+finished_sessions() {
+  jq -s --argjson from "$2" --argjson to "$3" '[.[] |
+    select(.event == "finished" and .ms >= $from and .ms <= $to and ((.path // "") | startswith("/session")))] | length' \
+    "$work/backend$1.journal"
+}
+
+# server_in_session prints the server of sizing-desk with most open sessions.
+server_in_session() {
+  local i
+  for i in $(seq "$desk_servers"); do echo "$(open_sessions "$i") $i"; done |
+    sort -n | tail -n 1 | cut -d ' ' -f 2
+}
+
 request() { curl -s -m 3 --http2-prior-knowledge "$@"; }
 fault() { request -d "$2" "http://$1/fault" >/dev/null; }
 
