--- a/include/snipepost/Membership/Blackboard.h
+++ b/include/snipepost/Membership/Blackboard.h
@@ -29,6 +29,8 @@
   InstanceRecord mRecord;
   /// When the record stops counting unless it is renewed.
   Instant mLeaseEnd;
+  /// Part of the record in the digests of the view.
+  uint64_t mHash = 0;
 };
 
 /// What an instance knows of the platform's object API.
@@ -55,6 +57,23 @@
   uint64_t mLeaseRenewals = 0;
 };
 
+/// Switches off single rules, so that tests can show that each is needed.
+struct MembershipGuards
+{
+  /// Only a greater document replaces the one held.
+  bool mNeverReverts = true;
+  /// A store that lost the document gets it back.
+  bool mWriteBack = true;
+  /// Suspicion needs most of the probers.
+  bool mVoteMajority = true;
+  /// Peers cannot bring back a record that was dropped.
+  bool mDropMemory = true;
+  /// A later incarnation in the store ends this life's right to act.
+  bool mFencing = true;
+  /// An instance acts only while its lease lasts.
+  bool mLease = true;
+};
+
 /// Settings of the control plane that every controller may read.
 struct MembershipOptions
 {
@@ -64,6 +83,7 @@
   Duration mLease = std::chrono::seconds(90);
   Duration mProbeInterval = std::chrono::milliseconds(500);
   Duration mExchangeInterval = std::chrono::milliseconds(500);
+  MembershipGuards mGuards{};
 };
 
 /// State that the membership controllers share. Each part has one writer; the
@@ -83,6 +103,11 @@
   /// AnnouncementController.
   std::map<Address, Instant> mProbers;
 
+  /// Failure domains that the document takes out. Instances there get neither
+  /// probes nor exchanges; they ask others for the document themselves.
+  /// Written through MembershipCore.
+  std::set<DomainId> mDomainsOut;
+
   /// Written by DocumentController.
   HeldDocument mDocument;
 
@@ -113,6 +138,11 @@
   MembershipCounters mCounters;
 };
 
+/// Weight of an address in the rendezvous order for aKey; the greatest is
+/// first.
+uint64_t
+RankWeight(uint64_t aKey, const Address& aAddress);
+
 /// True when aLeft sorts before aRight in the rendezvous order for aKey
 /// (Thaler and Ravishankar, 1998): every instance computes the same order.
 bool
@@ -123,6 +153,11 @@
 size_t
 OwnRank(const Blackboard& aBoard, uint64_t aKey);
 
+/// True when other instances may send packets to this one unasked: its failure
+/// domain is in.
+bool
+MayContact(const Blackboard& aBoard, const InstanceRecord& aRecord);
+
 /// Key of a text or an address for RanksBefore.
 uint64_t
 RankKey(std::string_view aText);
--- a/src/Daemon/ControlPlane.cpp
+++ b/src/Daemon/ControlPlane.cpp
@@ -309,15 +309,46 @@
   }
   mConfig = EffectiveAt(*mDocument, WallNow());
   mNextChange = NextChangeAfter(*mDocument, WallNow());
+  std::set<DomainId> out;
+  for (const auto& [id, domain] : mConfig->mDomains) {
+    if (domain.mState == DomainState::Out) {
+      out.insert(id);
+    }
+  }
+  mCore.SetDomainsOut(std::move(out));
   mOwner.OnViewChanged();
 }
 
 void
 ControlPlane::Perform(const ViewChanged&)
 {
+  LogSuspects();
   mOwner.OnViewChanged();
 }
 
+void
+ControlPlane::LogSuspects()
+{
+  const auto& suspects = Board().mSuspects;
+  for (const Address& address : suspects) {
+    if (!mLoggedSuspects.contains(address)) {
+      LogLine(LogChannel::Membership,
+              LogLevel::Warning,
+              "instance not reachable",
+              { { "address", ToString(address) } });
+    }
+  }
+  for (const Address& address : mLoggedSuspects) {
+    if (!suspects.contains(address)) {
+      LogLine(LogChannel::Membership,
+              LogLevel::Info,
+              "instance reachable again or gone",
+              { { "address", ToString(address) } });
+    }
+  }
+  mLoggedSuspects = suspects;
+}
+
 void
 ControlPlane::LogStoreState()
 {
--- a/src/Membership/ViewController.cpp
+++ b/src/Membership/ViewController.cpp
@@ -48,6 +48,9 @@
 void
 RememberDropped(Blackboard& aBoard, const InstanceRecord& aRecord)
 {
+  if (!aBoard.mOptions.mGuards.mDropMemory) {
+    return;
+  }
   constexpr size_t kMaxDropped = 10000;
   if (aBoard.mDropped.size() >= kMaxDropped) {
     aBoard.mDropped.clear();
@@ -85,13 +88,15 @@
     if (aRecord.mVersion == member.mRecord.mVersion) {
       return false;
     }
-    aBoard.mDigest ^= HashRecord(member.mRecord);
-    member.mRecord = aRecord;
-    member.mLeaseEnd = aLeaseEnd;
+    const uint64_t hash = HashRecord(aRecord);
+    aBoard.mDigest ^= member.mHash ^ hash;
+    member = { aRecord, aLeaseEnd, hash };
   } else {
-    aBoard.mMembers.emplace(aRecord.mAddress, Member{ aRecord, aLeaseEnd });
+    const uint64_t hash = HashRecord(aRecord);
+    aBoard.mDigest ^= hash;
+    aBoard.mMembers.emplace(aRecord.mAddress,
+                            Member{ aRecord, aLeaseEnd, hash });
   }
-  aBoard.mDigest ^= HashRecord(aRecord);
   aBoard.mFreshRecords[aRecord.mAddress] = kFreshSends;
   ++aBoard.mRevision;
   return true;
@@ -127,7 +132,7 @@
 {
   std::vector<uint64_t> digests(kViewBuckets);
   for (const auto& [address, member] : aBoard.mMembers) {
-    digests[BucketOf(address)] ^= HashRecord(member.mRecord);
+    digests[BucketOf(address)] ^= member.mHash;
   }
   for (const auto& [key, vote] : aBoard.mVotes) {
     digests[BucketOf(key.first)] ^= HashVote(vote);
@@ -137,9 +142,9 @@
 
 ViewController::ViewController()
   : mSources{
-    Source{ "endpoints/", false, false, 0, {}, {}, { 250ms, 10s } },
-    Source{ "entries/", false, false, 0, {}, {}, { 250ms, 10s } },
-    Source{ "deployments/", false, false, 0, {}, {}, { 250ms, 10s } }
+    Source{ "endpoints/", false, false, 0, {}, {}, Backoff(500ms, 10s) },
+    Source{ "entries/", false, false, 0, {}, {}, Backoff(500ms, 10s) },
+    Source{ "deployments/", false, false, 0, {}, {}, Backoff(500ms, 10s) }
   }
 {
 }
@@ -221,10 +226,10 @@
   if (aEvent.mOutcome != StoreOutcome::Done) {
     ++aBoard.mCounters.mStoreFailures;
     source->mListed = false;
-    source->mNextCall = aNow + source->mDelay.Failed(aRandom);
+    source->mNextCall = aNow + source->mDelay.Next(aRandom);
     return;
   }
-  source->mDelay.Succeeded();
+  source->mDelay.Reset();
   // A store that was rolled back starts its revisions anew: a watch from the
   // old one would wait for a revision that may never come.
   source->mListed = aEvent.mRevision >= source->mRevision;
@@ -265,7 +270,7 @@
       ++at;
       continue;
     }
-    aBoard.mDigest ^= HashRecord(member.mRecord);
+    aBoard.mDigest ^= member.mHash;
     for (auto vote = aBoard.mVotes.lower_bound({ at->first, Address{} });
          vote != aBoard.mVotes.end() && vote->first.first == at->first;) {
       aBoard.mDigest ^= HashVote(vote->second);
--- a/src/Quic/ConnectionSetup.cpp
+++ b/src/Quic/ConnectionSetup.cpp
@@ -45,7 +45,7 @@
   const gnutls_datum_t alpn{ name.data(), name.size() };
   return gnutls_priority_set_direct(mTls, kPriority, nullptr) == 0 &&
          gnutls_credentials_set(
-           mTls, GNUTLS_CRD_CERTIFICATE, aCredentials.Get()) == 0 &&
+           mTls, GNUTLS_CRD_CERTIFICATE, aCredentials.Handle()) == 0 &&
          gnutls_alpn_set_protocols(mTls, &alpn, 1, GNUTLS_ALPN_MANDATORY) == 0;
 }
 
@@ -99,6 +99,8 @@
   const ngtcp2_settings settings = MakeSettings(aNow);
   ngtcp2_transport_params params = MakeParams();
   params.original_dcid = aInitial.dcid;
+  params.stateless_reset_token_present =
+    mHooks.IssueResetToken(id, params.stateless_reset_token) ? 1 : 0;
   if (ngtcp2_conn_server_new(&mConn,
                              &aInitial.scid,
                              &id,
--- a/tools/bench/Modes.h
+++ b/tools/bench/Modes.h
@@ -16,4 +16,20 @@
 void
 RunPolicySweep(Report& aReport);
 
+/// Packets through an entry instance's path against a bare UDP relay.
+void
+RunRelay(Report& aReport);
+
+/// Costs of one membership core at several sizes of the fleet.
+void
+RunMembership(Report& aReport);
+
+/// Fleets of membership cores in virtual time: traffic, store calls, documents.
+void
+RunFleet(Report& aReport);
+
+/// The same up to the two-year size; takes many minutes.
+void
+RunLargeFleet(Report& aReport);
+
 } // namespace snipepost::bench
--- a/tools/bench/Report.h
+++ b/tools/bench/Report.h
@@ -22,6 +22,9 @@
   void SetPlotFile(std::string aFile) { mPlotFile = std::move(aFile); }
   const std::string& PlotFile() const { return mPlotFile; }
 
+  /// Adds the tables of another report.
+  void Append(Report aOther);
+
   /// Plain text with aligned columns.
   void PrintText(std::ostream& aOut) const;
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -6,7 +6,8 @@
 cd "$(dirname "$0")/.."
 tools/install.sh
 cmake -S . -B build -G Ninja >/dev/null
-cmake --build build -- -j "$(nproc)"
+cmake --build build --target snipepostd snipepostctl fabric platform backend \
+  callers -- -j "${JOBS:-$(nproc)}"
 bin=$PWD/build/bin
 work=$(mktemp -d)
 source tools/cluster.sh
@@ -27,4 +28,5 @@
 "$bin/callers" --service "$service_1" --bulk-service "$service_2" \
   --seconds "${seconds:-20}" --submissions 40 --queries 120 --bulk 4 \
   --sessions 1 --flow-life 5 \
-  --journals "$work"/backend*.journal --expect-clean
+  --journals "$work"/backend[1-7].journal \
+  --bulk-journals "$work"/backend{8,9,10}.journal --expect-clean
