HealthController: leave out probers that do not answer this instance

Cause: with three entry instances, two that die together each had the other as a prober that never voted. Ruled out: ending members whose lease lapsed while the store answers, because instances that do not watch see renewals only every 300 s. Change: an instance leaves probers that it finds down itself out of its count. Conclusion: views may differ between instances while a link is broken, as they already do while votes spread.

--- a/src/Membership/HealthController.cpp
+++ b/src/Membership/HealthController.cpp
@@ -48,6 +48,15 @@
   return probers;
 }
 
+bool
+VotesDown(const Blackboard& aBoard,
+          const Address& aTarget,
+          const Address& aProber)
+{
+  const auto vote = aBoard.mVotes.find({ aTarget, aProber });
+  return vote != aBoard.mVotes.end() && vote->second.mDown;
+}
+
 } // namespace
 
 ProberCandidates
@@ -204,13 +213,18 @@
   std::set<Address> suspects;
   for (const auto& [target, assignment] : mAssignments) {
     size_t down = 0;
-    const std::vector<Address>& probers = assignment.mProbers;
-    for (const Address& prober : probers) {
-      const auto vote = aBoard.mVotes.find({ target, prober });
-      down += vote != aBoard.mVotes.end() && vote->second.mDown ? 1 : 0;
+    size_t counted = 0;
+    for (const Address& prober : assignment.mProbers) {
+      // A prober that doesn't answer this instance is left out: two dead ones
+      // of three would otherwise outvote it for good, even on each other.
+      if (VotesDown(aBoard, prober, aBoard.mOwn.mAddress)) {
+        continue;
+      }
+      ++counted;
+      down += VotesDown(aBoard, target, prober) ? 1 : 0;
     }
     const bool most =
-      2 * down > probers.size() || !aBoard.mOptions.mGuards.mVoteMajority;
+      2 * down > counted || !aBoard.mOptions.mGuards.mVoteMajority;
     if (down > 0 && most) {
       suspects.insert(target);
     }
--- a/tests/Matrix/FleetMatrixTest.cpp
+++ b/tests/Matrix/FleetMatrixTest.cpp
@@ -48,7 +48,7 @@
 }
 
 // Schedules that broke a rule once, as RapidCheck shrank them.
-BOOST_AUTO_TEST_CASE(P10_FleetFaultsFoundBefore)
+BOOST_AUTO_TEST_CASE(P1_P10_FleetFaultsFoundBefore)
 {
   using A = FleetAction;
   const std::vector<FleetSchedule> schedules{
@@ -74,6 +74,12 @@
       { A::DomainOut, 5 },
       { A::AdvanceLong },
       { A::AgentRestarts } },
+    // Two dead entry instances of three counted as probers of each other for
+    // good, and so did their votes on an agent that was back.
+    { { A::AgentFrozen },
+      { A::AdvanceLong },
+      { A::EntryDies, 6 },
+      { A::EntryDies } },
   };
   for (const FleetSchedule& schedule : schedules) {
     BOOST_TEST(Describe(RunAndJudge(schedule)) == "");
