One outcome type for the object API; split the agent's packet path

Change: Base/StoredObject.h serves all three; the agent's packet path is a file of its own; credit is returned before a body is judged.

--- a/include/snipepost/Ctl/ObjectStore.h
+++ b/include/snipepost/Ctl/ObjectStore.h
@@ -4,34 +4,16 @@
 #include <string>
 #include <vector>
 
+#include <snipepost/Base/StoredObject.h>
 #include <snipepost/Base/Types.h>
 
 namespace snipepost {
 
-enum class StoreOutcome
-{
-  Done,
-  /// The object's version is not the one that the condition names.
-  Conflict,
-  Absent,
-  /// Rate limit or outage; the call had no effect.
-  Refused,
-  /// No answer; a write may or may not have taken effect.
-  Unknown,
-};
-
-struct ObjectRecord
-{
-  std::string mKey;
-  ObjectVersion mVersion;
-  std::string mValue;
-};
-
 struct StoreAnswer
 {
-  StoreOutcome mOutcome = StoreOutcome::Unknown;
+  ObjectOutcome mOutcome = ObjectOutcome::Unknown;
   /// One object after a successful get, any number after a list.
-  std::vector<ObjectRecord> mObjects;
+  std::vector<StoredObject> mObjects;
 };
 
 /// What snipepostctl needs of the platform's object API.
--- a/include/snipepost/Ctl/Submission.h
+++ b/include/snipepost/Ctl/Submission.h
@@ -109,7 +109,7 @@
     FindInAudit,
   };
 
-  void Fail(StoreOutcome aOutcome);
+  void Fail(ObjectOutcome aOutcome);
   void Finish(Verdict aVerdict, std::string aText);
   void OnRead(const StoreAnswer& aAnswer);
   void OnCurrent(const Document& aCurrent);
--- a/include/snipepost/Membership/DocumentController.h
+++ b/include/snipepost/Membership/DocumentController.h
@@ -56,7 +56,7 @@
   void ReadStoreWhenDue(Context& aContext);
   void WriteBackWhenDue(Context& aContext);
   void ObserveStored(Context& aContext,
-                     const std::optional<StoreObject>& aObject);
+                     const std::optional<StoredObject>& aObject);
 
   DocumentInspector mInspector;
 
--- a/include/snipepost/Membership/Events.h
+++ b/include/snipepost/Membership/Events.h
@@ -5,28 +5,11 @@
 #include <variant>
 #include <vector>
 
+#include <snipepost/Base/StoredObject.h>
 #include <snipepost/Membership/Records.h>
 
 namespace snipepost {
 
-/// How a call to the platform's object API ended.
-enum class StoreOutcome : uint8_t
-{
-  Done,
-  Conflict,
-  Absent,
-  Refused, ///< Rate limit, outage or no connection: it had no effect.
-  Unknown, ///< No answer: a write may have taken effect.
-};
-
-/// An object as the store returned it.
-struct StoreObject
-{
-  std::string mKey;
-  ObjectVersion mVersion;
-  std::string mValue;
-};
-
 /// Condition under which a write takes effect: an expected version, or
 /// nothing when the object must be absent.
 using StoreCondition = std::optional<ObjectVersion>;
@@ -139,24 +122,24 @@
 struct StoreReadEnded
 {
   std::string mKey;
-  StoreOutcome mOutcome = StoreOutcome::Unknown;
-  StoreObject mObject;
+  ObjectOutcome mOutcome = ObjectOutcome::Unknown;
+  StoredObject mObject;
 };
 
 struct StoreWriteEnded
 {
   std::string mKey;
-  StoreOutcome mOutcome = StoreOutcome::Unknown;
+  ObjectOutcome mOutcome = ObjectOutcome::Unknown;
   ObjectVersion mVersion;
 };
 
 struct StoreListEnded
 {
   std::string mPrefix;
-  StoreOutcome mOutcome = StoreOutcome::Unknown;
+  ObjectOutcome mOutcome = ObjectOutcome::Unknown;
   bool mComplete = false; ///< True for a list, false for a watch.
   uint64_t mRevision = 0;
-  std::vector<StoreObject> mObjects;
+  std::vector<StoredObject> mObjects;
 };
 
 using MembershipEvent = std::variant<ClockTick,
--- a/include/snipepost/Platform/ObjectClient.h
+++ b/include/snipepost/Platform/ObjectClient.h
@@ -11,36 +11,15 @@
 #include <asio.hpp>
 
 #include <snipepost/Base/Address.h>
+#include <snipepost/Base/StoredObject.h>
 #include <snipepost/Base/Types.h>
 
 namespace snipepost {
 
-/// How a call to the object API ended.
-enum class ObjectOutcome
-{
-  Done,
-  /// A condition did not hold; nothing was changed.
-  Conflict,
-  /// There is no such object.
-  Absent,
-  /// Rate limit, outage or no connection; nothing was changed.
-  Refused,
-  /// The answer was lost, late or unreadable: a write may have taken effect.
-  Unknown,
-};
-
 /// Names an outcome for log lines.
 std::string_view
 ToString(ObjectOutcome aOutcome);
 
-/// A stored object.
-struct StoredObject
-{
-  std::string mKey;
-  ObjectVersion mVersion;
-  std::string mValue;
-};
-
 /// A change seen by a watch: an object's new content, or its removal.
 struct ObjectEvent
 {
--- a/src/Ctl/Deployment.cpp
+++ b/src/Ctl/Deployment.cpp
@@ -46,7 +46,7 @@
 /// its name or ID. An agent that announces no slots has those of its service:
 /// the agent learns their number from this document only.
 std::optional<AnnouncedEndpoint>
-ParseEndpoint(const Document& aDocument, const ObjectRecord& aObject)
+ParseEndpoint(const Document& aDocument, const StoredObject& aObject)
 {
   const auto address = ParseAddress(AfterLastSlash(aObject.mKey));
   const size_t start = aObject.mKey.find('/') + 1;
@@ -114,8 +114,8 @@
       mEnvironment.mPause(kReadPause * i);
     }
     answer = aCall();
-    if (answer.mOutcome != StoreOutcome::Refused &&
-        answer.mOutcome != StoreOutcome::Unknown) {
+    if (answer.mOutcome != ObjectOutcome::Refused &&
+        answer.mOutcome != ObjectOutcome::Unknown) {
       break;
     }
   }
@@ -155,7 +155,7 @@
   DeploymentView view;
   const auto answer = Get(DocumentKey(mOptions.mDeployment));
   view.mOutcome = answer.mOutcome;
-  if (answer.mOutcome == StoreOutcome::Done && !answer.mObjects.empty()) {
+  if (answer.mOutcome == ObjectOutcome::Done && !answer.mObjects.empty()) {
     auto parsed = ParseDocument(answer.mObjects.front().mValue);
     if (!parsed.mValue) {
       view.mFault = "the store's document can't be read: " +
@@ -185,7 +185,7 @@
 Deployment::Endpoints(const Document& aDocument)
 {
   const auto answer = List("endpoints/");
-  if (answer.mOutcome != StoreOutcome::Done) {
+  if (answer.mOutcome != ObjectOutcome::Done) {
     return std::nullopt;
   }
   std::vector<AnnouncedEndpoint> endpoints;
--- a/src/Ctl/Deployment.h
+++ b/src/Ctl/Deployment.h
@@ -25,7 +25,7 @@
 struct DeploymentView
 {
   /// Done or Absent when the store was read; its document in mStored.
-  StoreOutcome mOutcome = StoreOutcome::Unknown;
+  ObjectOutcome mOutcome = ObjectOutcome::Unknown;
   std::optional<Document> mStored;
   /// Why the store's document could not be parsed.
   std::string mFault;
--- a/src/Ctl/History.cpp
+++ b/src/Ctl/History.cpp
@@ -63,7 +63,7 @@
     store += IsNewer(*highest, *view.mStored)
                ? ", older than what instances hold; run restore"
                : "";
-  } else if (view.mOutcome == StoreOutcome::Absent) {
+  } else if (view.mOutcome == ObjectOutcome::Absent) {
     store = highest ? "empty; run restore" : "no document";
   }
   std::vector<std::string> lines{ "store: " + store };
@@ -83,7 +83,7 @@
     same = false;
   }
   if (!view.mStored && !view.AnyInstance()) {
-    const bool absent = view.mOutcome == StoreOutcome::Absent;
+    const bool absent = view.mOutcome == ObjectOutcome::Absent;
     return LinesReport(
       absent ? ExitCode::Absent : ExitCode::Refused, "status", lines);
   }
@@ -110,8 +110,8 @@
     }
   }
   const auto entries = AuditEntries();
-  if (!entries || aView.mOutcome == StoreOutcome::Refused ||
-      aView.mOutcome == StoreOutcome::Unknown || !aView.mFault.empty()) {
+  if (!entries || aView.mOutcome == ObjectOutcome::Refused ||
+      aView.mOutcome == ObjectOutcome::Unknown || !aView.mFault.empty()) {
     return PlainReport(ExitCode::Unknown,
                        "unknown: the store can't be read; repeat this later");
   }
@@ -132,7 +132,7 @@
 Session::AuditEntries()
 {
   const auto answer = mDeployment->List(AuditPrefix(mOptions.mDeployment));
-  if (answer.mOutcome != StoreOutcome::Done) {
+  if (answer.mOutcome != ObjectOutcome::Done) {
     return std::nullopt;
   }
   std::vector<AuditEntry> entries;
--- a/src/Ctl/PlatformBinding.cpp
+++ b/src/Ctl/PlatformBinding.cpp
@@ -16,32 +16,6 @@
 /// then is reported as such.
 constexpr Duration kInstanceTimeout = std::chrono::seconds(2);
 
-StoreOutcome
-FromClient(ObjectOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case ObjectOutcome::Done:
-      return StoreOutcome::Done;
-    case ObjectOutcome::Conflict:
-      return StoreOutcome::Conflict;
-    case ObjectOutcome::Absent:
-      return StoreOutcome::Absent;
-    case ObjectOutcome::Refused:
-      return StoreOutcome::Refused;
-    case ObjectOutcome::Unknown:
-      break;
-  }
-  return StoreOutcome::Unknown;
-}
-
-ObjectRecord
-FromClient(StoredObject aObject)
-{
-  return { std::move(aObject.mKey),
-           aObject.mVersion,
-           std::move(aObject.mValue) };
-}
-
 /// Turns the asynchronous client's calls into blocking ones.
 class PlatformStore : public ObjectStore
 {
@@ -56,9 +30,9 @@
     StoreAnswer answer;
     bool ended = false;
     mClient.Get(aKey, [&](GetResult aResult) {
-      answer.mOutcome = FromClient(aResult.mOutcome);
+      answer.mOutcome = aResult.mOutcome;
       if (aResult.mObject) {
-        answer.mObjects.push_back(FromClient(*std::move(aResult.mObject)));
+        answer.mObjects.push_back(*std::move(aResult.mObject));
       }
       ended = true;
     });
@@ -71,9 +45,9 @@
     StoreAnswer answer;
     bool ended = false;
     mClient.List(aPrefix, [&](ListResult aResult) {
-      answer.mOutcome = FromClient(aResult.mOutcome);
+      answer.mOutcome = aResult.mOutcome;
       for (auto& object : aResult.mObjects) {
-        answer.mObjects.push_back(FromClient(std::move(object)));
+        answer.mObjects.push_back(std::move(object));
       }
       ended = true;
     });
@@ -92,7 +66,7 @@
                 aVersion ? WriteCondition::IfVersion(*aVersion)
                          : WriteCondition::IfAbsent(),
                 [&](const WriteResult& aResult) {
-                  answer.mOutcome = FromClient(aResult.mOutcome);
+                  answer.mOutcome = aResult.mOutcome;
                   ended = true;
                 });
     Wait(ended);
--- a/src/Ctl/Session.cpp
+++ b/src/Ctl/Session.cpp
@@ -191,8 +191,8 @@
 std::string
 Session::Obstacle(const DeploymentView& aView) const
 {
-  if (aView.mOutcome != StoreOutcome::Done &&
-      aView.mOutcome != StoreOutcome::Absent) {
+  if (aView.mOutcome != ObjectOutcome::Done &&
+      aView.mOutcome != ObjectOutcome::Absent) {
     return "nothing was written; the store does not answer";
   }
   if (!aView.mFault.empty()) {
@@ -392,7 +392,7 @@
   if (highest) {
     return *highest;
   }
-  return view.mOutcome == StoreOutcome::Absent
+  return view.mOutcome == ObjectOutcome::Absent
            ? PlainReport(ExitCode::Absent, "there is no document")
            : PlainReport(ExitCode::Refused, "the store does not answer");
 }
--- a/src/Ctl/Submission.cpp
+++ b/src/Ctl/Submission.cpp
@@ -47,12 +47,12 @@
 void
 Submission::OnAnswer(const StoreAnswer& aAnswer)
 {
-  const bool failed = aAnswer.mOutcome == StoreOutcome::Refused ||
-                      aAnswer.mOutcome == StoreOutcome::Unknown;
+  const bool failed = aAnswer.mOutcome == ObjectOutcome::Refused ||
+                      aAnswer.mOutcome == ObjectOutcome::Unknown;
   const bool read = mStep.mKind == SubmissionStep::Kind::Get;
-  if (read && (failed || (aAnswer.mOutcome == StoreOutcome::Done &&
+  if (read && (failed || (aAnswer.mOutcome == ObjectOutcome::Done &&
                           aAnswer.mObjects.empty()))) {
-    Fail(StoreOutcome::Refused);
+    Fail(ObjectOutcome::Refused);
     return;
   }
   switch (mState) {
@@ -106,13 +106,13 @@
 }
 
 void
-Submission::Fail(StoreOutcome aOutcome)
+Submission::Fail(ObjectOutcome aOutcome)
 {
   // A lost answer to a write is settled by reading, never by assuming.
-  if (aOutcome == StoreOutcome::Unknown && mState == State::DocumentPut) {
+  if (aOutcome == ObjectOutcome::Unknown && mState == State::DocumentPut) {
     mMayHaveWritten = true;
     CallGet(State::Read, mStep.mKey);
-  } else if (aOutcome == StoreOutcome::Unknown) {
+  } else if (aOutcome == ObjectOutcome::Unknown) {
     CallGet(State::AuditRead, mStep.mKey);
   }
   if (++mFailures < kMaxFailures) {
@@ -171,8 +171,8 @@
   mVersion.reset();
   mAudits.clear();
   mAuditKeyTaken = false;
-  if (aAnswer.mOutcome == StoreOutcome::Done) {
-    const ObjectRecord& object = aAnswer.mObjects.front();
+  if (aAnswer.mOutcome == ObjectOutcome::Done) {
+    const StoredObject& object = aAnswer.mObjects.front();
     auto parsed = ParseDocument(object.mValue);
     if (!parsed.mValue) {
       Finish(mMayHaveWritten ? Verdict::Unknown : Verdict::Refused,
@@ -250,16 +250,16 @@
 Submission::OnAuditPut(const StoreAnswer& aAnswer)
 {
   switch (aAnswer.mOutcome) {
-    case StoreOutcome::Done:
+    case ObjectOutcome::Done:
       mCopied.insert(OrderOf(mAudits.back()));
       StartWriting();
       break;
-    case StoreOutcome::Conflict:
+    case ObjectOutcome::Conflict:
       CallGet(State::AuditRead, mStep.mKey);
       break;
-    case StoreOutcome::Absent:
-    case StoreOutcome::Refused:
-    case StoreOutcome::Unknown:
+    case ObjectOutcome::Absent:
+    case ObjectOutcome::Refused:
+    case ObjectOutcome::Unknown:
       Fail(aAnswer.mOutcome);
       break;
   }
@@ -268,7 +268,7 @@
 void
 Submission::OnAuditRead(const StoreAnswer& aAnswer)
 {
-  if (aAnswer.mOutcome == StoreOutcome::Done) {
+  if (aAnswer.mOutcome == ObjectOutcome::Done) {
     const auto entry = ParseAuditEntry(aAnswer.mObjects.front().mValue);
     const DocumentOrder order = OrderOf(mAudits.back());
     if (entry.mValue && entry.mValue->mSubmission == order.mSubmission) {
@@ -287,26 +287,26 @@
   }
   // The entry is absent after a lost write or a rollback; write it again.
   StartWriting();
-  Fail(StoreOutcome::Refused);
+  Fail(ObjectOutcome::Refused);
 }
 
 void
 Submission::OnDocumentPut(const StoreAnswer& aAnswer)
 {
   switch (aAnswer.mOutcome) {
-    case StoreOutcome::Done:
+    case ObjectOutcome::Done:
       Finish(Verdict::Accepted,
              "generation " + Number(mPlan.mDocument) + " was written");
       break;
-    case StoreOutcome::Conflict:
-    case StoreOutcome::Absent:
+    case ObjectOutcome::Conflict:
+    case ObjectOutcome::Absent:
       // The object changed; a rollback or a restore leaves it replaceable, so
       // the read decides. Bounded like any failure.
       CallGet(State::Read, mStep.mKey);
-      Fail(StoreOutcome::Refused);
+      Fail(ObjectOutcome::Refused);
       break;
-    case StoreOutcome::Refused:
-    case StoreOutcome::Unknown:
+    case ObjectOutcome::Refused:
+    case ObjectOutcome::Unknown:
       Fail(aAnswer.mOutcome);
       break;
   }
@@ -316,7 +316,7 @@
 Submission::OnFindInAudit(const StoreAnswer& aAnswer)
 {
   const DocumentOrder order = OrderOf(mPlan.mDocument);
-  if (aAnswer.mOutcome == StoreOutcome::Done) {
+  if (aAnswer.mOutcome == ObjectOutcome::Done) {
     const auto entry = ParseAuditEntry(aAnswer.mObjects.front().mValue);
     if (entry.mValue && entry.mValue->mSubmission == order.mSubmission) {
       Finish(Verdict::Accepted,
--- a/src/Daemon/AgentInstance.cpp
+++ b/src/Daemon/AgentInstance.cpp
@@ -1,12 +1,8 @@
 #include <src/Daemon/AgentInstance.h>
 
 #include <algorithm>
-#include <cstring>
 #include <random>
 
-#include <snipepost/Routing/QuicInvariants.h>
-#include <snipepost/Routing/RouteId.h>
-
 #include <src/Daemon/CallerRequests.h>
 
 namespace snipepost {
@@ -36,26 +32,6 @@
   return config;
 }
 
-PacketKind
-KindOf(const ServerEndpoint& aEndpoint, std::span<const uint8_t> aPayload)
-{
-  if (aEndpoint.ClaimsDatagram(aPayload)) {
-    return PacketKind::Owned;
-  }
-  const auto invariants = ParseQuicInvariants(aPayload);
-  return invariants && invariants->mIsInitial ? PacketKind::Opening
-                                              : PacketKind::Unknown;
-}
-
-uint8_t
-Share(size_t aPart, size_t aWhole)
-{
-  constexpr size_t kFull = 255;
-  return aWhole == 0
-           ? kFull
-           : static_cast<uint8_t>(std::min(kFull, 256 * aPart / aWhole));
-}
-
 } // namespace
 
 AgentInstance::Counters::Counters(Registry& aRegistry)
@@ -139,210 +115,6 @@
   Admission(ShutdownRequested{});
 }
 
-ConnectionIdBytes
-AgentInstance::IssueRouteId()
-{
-  const InstanceRecord& own = mControl.Board().mOwn;
-  RouteId id;
-  id.mService = own.mService;
-  id.mDomain = own.mDomain;
-  id.mAgent = own.mAddress;
-  id.mIncarnation = static_cast<uint16_t>(own.mVersion.mIncarnation.Value());
-  constexpr uint64_t kNonces = uint64_t{ 1 } << 24U;
-  ConnectionIdBytes bytes;
-  do {
-    id.mNonce = static_cast<uint32_t>(mRandom.Below(kNonces));
-    bytes = EncodeRouteId(id, mKeys);
-  } while (mEndpoint.ClaimsDatagram(ShortHeaderFor(bytes)));
-  return bytes;
-}
-
-void
-AgentInstance::OnDatagram(std::span<const uint8_t> aBytes, const Address& aFrom)
-{
-  const auto decoded = DecodePacket(aBytes, mKeys);
-  const auto* packet = std::get_if<Packet>(&decoded);
-  if (!packet) {
-    mCounters.mBadPackets.Add();
-    return;
-  }
-  if (packet->mHeader.mGeneration > mControl.CurrentGeneration()) {
-    mControl.Feed(GenerationSeen{ aFrom, packet->mHeader.mGeneration });
-  }
-  switch (packet->mHeader.mType) {
-    case PacketType::Probe:
-      AnswerProbe(aFrom);
-      return;
-    case PacketType::Forward:
-      mPaths.Heard(aFrom, MonotonicNow());
-      [[fallthrough]];
-    case PacketType::HandOn:
-      mCounters.mFlowPackets.Add();
-      HandleFlowPacket(*packet, aBytes, aFrom);
-      return;
-    default:
-      mCounters.mBadPackets.Add();
-  }
-}
-
-void
-AgentInstance::AnswerProbe(const Address& aFrom)
-{
-  const Instant now = MonotonicNow();
-  mPaths.Heard(aFrom, now);
-  mControl.Feed(ProbeReceived{ aFrom });
-  Admission(EntryConfirmed{});
-  PacketHeader header;
-  header.mType = PacketType::ProbeReply;
-  header.mService = mControl.Board().mOwn.mService;
-  header.mGeneration = mControl.CurrentGeneration();
-  header.mLoad = Load();
-  const size_t length = EncodePacket(header, {}, mSocket.Reserve(), mKeys);
-  mSocket.Commit(length, aFrom);
-}
-
-void
-AgentInstance::HandleFlowPacket(const Packet& aPacket,
-                                std::span<const uint8_t>,
-                                const Address& aFrom)
-{
-  const PacketHeader& header = aPacket.mHeader;
-  const InstanceRecord& own = mControl.Board().mOwn;
-  if (header.mService != own.mService) {
-    mCounters.mBadPackets.Add();
-    return;
-  }
-  FirstPacket packet;
-  packet.mKind = KindOf(mEndpoint, aPacket.mPayload);
-  const auto candidates = header.mCandidates.View();
-  const auto self =
-    std::find(candidates.begin(), candidates.end(), own.mAddress);
-  packet.mCandidates = static_cast<uint8_t>(candidates.size());
-  packet.mOwnIndex = static_cast<uint8_t>(self - candidates.begin());
-  packet.mPresent = std::min<uint8_t>(2, packet.mCandidates);
-  packet.mHops = header.mHopCount;
-  if (self == candidates.end()) {
-    mCounters.mBadPackets.Add();
-    return;
-  }
-  const auto decision = mCore.OnFirstPacket(packet, MonotonicNow());
-  mDelivering = header.mType == PacketType::Forward ? aFrom : Address{};
-  switch (decision.mAction) {
-    case HuntingDecision::Action::Accept:
-      Deliver(aPacket, mDelivering);
-      return;
-    case HuntingDecision::Action::HandOn:
-      HandOn(aPacket, decision.mCandidate);
-      return;
-    case HuntingDecision::Action::Refuse:
-      mCounters.mFlowsRefused.Add();
-      mEndpoint.Refuse(aPacket.mPayload, header.mCaller);
-      return;
-    case HuntingDecision::Action::Drop:
-      mCounters.mDropped.Add();
-      ResetWhenOwn(aPacket);
-  }
-}
-
-void
-AgentInstance::ResetWhenOwn(const Packet& aPacket)
-{
-  const auto invariants = ParseQuicInvariants(aPacket.mPayload);
-  if (!invariants || invariants->mKind != QuicPacketKind::Short) {
-    return;
-  }
-  const auto id = DecodeRouteId(invariants->mDestinationId, mKeys);
-  if (id && id->mAgent == mControl.Board().mOwn.mAddress) {
-    mEndpoint.ResetUnknown(aPacket.mPayload, aPacket.mHeader.mCaller);
-  }
-}
-
-ResetToken
-AgentInstance::ResetTokenOf(std::span<const uint8_t> aId) const
-{
-  // The slot in the ID survives a rotation: its secret still verifies.
-  const uint8_t slot = aId.empty() ? 0 : aId[0] & 0x0f;
-  std::vector<uint8_t> input(aId.begin(), aId.end());
-  ResetToken token;
-  for (uint8_t half = 0; half < 2; ++half) {
-    input.push_back(half);
-    const uint64_t tag = mKeys.Tag(slot, input).value_or(mRandomTag);
-    std::memcpy(token.data() + half * sizeof tag, &tag, sizeof tag);
-  }
-  return token;
-}
-
-void
-AgentInstance::Deliver(const Packet& aPacket, const Address& aFrom)
-{
-  const Instant now = MonotonicNow();
-  const Address& caller = aPacket.mHeader.mCaller;
-  auto flow = mEndpoint.OnDatagram(aPacket.mPayload, caller, now);
-  if (!flow) {
-    flow = mEndpoint.Accept(aPacket.mPayload, caller, now);
-    if (!flow) {
-      mCounters.mFlowsRefused.Add();
-      mEndpoint.Refuse(aPacket.mPayload, caller);
-      return;
-    }
-    mCounters.mFlowsAccepted.Add();
-  }
-  if (!aFrom.IsNull()) {
-    mPaths.Heard(*flow, aFrom, now);
-  }
-}
-
-void
-AgentInstance::HandOn(const Packet& aPacket, uint8_t aCandidate)
-{
-  PacketHeader header = aPacket.mHeader;
-  header.mType = PacketType::HandOn;
-  ++header.mHopCount;
-  const Address to = header.mCandidates[aCandidate];
-  const size_t length =
-    EncodePacket(header, aPacket.mPayload, mSocket.Reserve(), mKeys);
-  mSocket.Commit(length, to);
-  mCounters.mHandedOn.Add();
-}
-
-void
-AgentInstance::SendReply(std::span<const uint8_t> aPayload,
-                         const Address& aCaller,
-                         ConnectionHandle aFlow)
-{
-  std::optional<Address> entry;
-  if (aFlow == ConnectionHandle{} && !mDelivering.IsNull()) {
-    entry = mDelivering;
-  } else {
-    entry = mPaths.Choose(aFlow, MonotonicNow());
-  }
-  if (!entry) {
-    mCounters.mNoReturnPath.Add();
-    return;
-  }
-  PacketHeader header;
-  header.mType = PacketType::Reply;
-  header.mService = mControl.Board().mOwn.mService;
-  header.mGeneration = mControl.CurrentGeneration();
-  header.mCaller = aCaller;
-  header.mLoad = Load();
-  const size_t length =
-    EncodePacket(header, aPayload, mSocket.Reserve(), mKeys);
-  mSocket.Commit(length, *entry);
-  mCounters.mReplies.Add();
-}
-
-LoadReport
-AgentInstance::Load() const
-{
-  const AgentLoad load = mCore.Load(MonotonicNow());
-  LoadReport report;
-  report.mUsedSlots = Share(load.mInFlight, load.mLimit);
-  report.mQueue = Share(load.mQueued, load.mQueueCapacity);
-  report.mState = load.mAcceptsFlows ? AgentState::Ready : AgentState::Draining;
-  return report;
-}
-
 void
 AgentInstance::OnFlowOpened(ConnectionHandle aFlow)
 {
@@ -367,6 +139,8 @@
 AgentInstance::OnRequestBody(RequestHandle aRequest,
                              std::span<const uint8_t> aBytes)
 {
+  // Credit is returned for refused bodies too: the connection shares it.
+  mEndpoint.ConsumeBody(aRequest, aBytes.size());
   const auto found = mIncoming.find(aRequest);
   if (found == mIncoming.end()) {
     return;
@@ -376,9 +150,7 @@
     CallerSink(mEndpoint, aRequest).Start(413, {});
     CallerSink(mEndpoint, aRequest).End();
     mIncoming.erase(found);
-    return;
   }
-  mEndpoint.ConsumeBody(aRequest, aBytes.size());
 }
 
 void
--- a/src/Daemon/ControlPlane.cpp
+++ b/src/Daemon/ControlPlane.cpp
@@ -62,32 +62,6 @@
   return own;
 }
 
-StoreOutcome
-FromClient(ObjectOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case ObjectOutcome::Done:
-      return StoreOutcome::Done;
-    case ObjectOutcome::Conflict:
-      return StoreOutcome::Conflict;
-    case ObjectOutcome::Absent:
-      return StoreOutcome::Absent;
-    case ObjectOutcome::Refused:
-      return StoreOutcome::Refused;
-    case ObjectOutcome::Unknown:
-      return StoreOutcome::Unknown;
-  }
-  return StoreOutcome::Unknown;
-}
-
-StoreObject
-FromClient(StoredObject&& aObject)
-{
-  return { std::move(aObject.mKey),
-           aObject.mVersion,
-           std::move(aObject.mValue) };
-}
-
 http2::Request
 PeerRequest(const char* aMethod, const char* aPath, std::string aBody = {})
 {
@@ -222,9 +196,9 @@
 ControlPlane::Perform(const StoreRead& aEffect)
 {
   mStore.Get(aEffect.mKey, [this, key = aEffect.mKey](GetResult aResult) {
-    StoreReadEnded ended{ key, FromClient(aResult.mOutcome), {} };
+    StoreReadEnded ended{ key, aResult.mOutcome, {} };
     if (aResult.mObject) {
-      ended.mObject = FromClient(std::move(*aResult.mObject));
+      ended.mObject = std::move(*aResult.mObject);
     }
     Feed(ended);
   });
@@ -244,8 +218,7 @@
     aEffect.mValue,
     condition,
     [this, key = aEffect.mKey](const WriteResult& aResult) {
-      Feed(
-        StoreWriteEnded{ key, FromClient(aResult.mOutcome), aResult.mVersion });
+      Feed(StoreWriteEnded{ key, aResult.mOutcome, aResult.mVersion });
     },
     lease);
 }
@@ -253,16 +226,16 @@
 void
 ControlPlane::Perform(const StoreList& aEffect)
 {
-  mStore.List(
-    aEffect.mPrefix, [this, prefix = aEffect.mPrefix](ListResult aResult) {
-      StoreListEnded ended{
-        prefix, FromClient(aResult.mOutcome), true, aResult.mRevision, {}
-      };
-      for (StoredObject& object : aResult.mObjects) {
-        ended.mObjects.push_back(FromClient(std::move(object)));
-      }
-      Feed(ended);
-    });
+  mStore.List(aEffect.mPrefix,
+              [this, prefix = aEffect.mPrefix](ListResult aResult) {
+                StoreListEnded ended{
+                  prefix, aResult.mOutcome, true, aResult.mRevision, {}
+                };
+                for (StoredObject& object : aResult.mObjects) {
+                  ended.mObjects.push_back(std::move(object));
+                }
+                Feed(ended);
+              });
 }
 
 void
@@ -272,11 +245,9 @@
                aEffect.mSince,
                kWatchWait,
                [this, prefix = aEffect.mPrefix](WatchResult aResult) {
-                 StoreListEnded ended{ prefix,
-                                       FromClient(aResult.mOutcome),
-                                       false,
-                                       aResult.mRevision,
-                                       {} };
+                 StoreListEnded ended{
+                   prefix, aResult.mOutcome, false, aResult.mRevision, {}
+                 };
                  for (ObjectEvent& event : aResult.mEvents) {
                    // A removal says nothing that a lapsed lease and lost probes
                    // don't.
--- a/src/Membership/AnnouncementController.cpp
+++ b/src/Membership/AnnouncementController.cpp
@@ -109,13 +109,13 @@
     return;
   }
   mCall = Call::None;
-  if (aEvent.mOutcome == StoreOutcome::Absent) {
+  if (aEvent.mOutcome == ObjectOutcome::Absent) {
     mKnowsStored = true;
     mStored.reset();
     mNextCall = aNow;
     return;
   }
-  if (aEvent.mOutcome != StoreOutcome::Done) {
+  if (aEvent.mOutcome != ObjectOutcome::Done) {
     Failed(aBoard, aNow, aRandom);
     return;
   }
@@ -141,20 +141,20 @@
     return;
   }
   mCall = Call::None;
-  if (aEvent.mOutcome == StoreOutcome::Done) {
+  if (aEvent.mOutcome == ObjectOutcome::Done) {
     mStored = aEvent.mVersion;
     mPublished = mWriting;
     Renewed(aBoard, aNow, aRandom);
     return;
   }
-  if (aEvent.mOutcome == StoreOutcome::Refused) {
+  if (aEvent.mOutcome == ObjectOutcome::Refused) {
     Failed(aBoard, aNow, aRandom);
     return;
   }
   // The stored version is not the expected one, or the write may have taken
   // effect: read before writing again.
   mKnowsStored = false;
-  if (aEvent.mOutcome == StoreOutcome::Unknown) {
+  if (aEvent.mOutcome == ObjectOutcome::Unknown) {
     Failed(aBoard, aNow, aRandom);
   } else {
     mNextCall = aNow;
--- a/src/Membership/DocumentController.cpp
+++ b/src/Membership/DocumentController.cpp
@@ -169,8 +169,8 @@
     return;
   }
   mReading = false;
-  const bool answered = aEvent.mOutcome == StoreOutcome::Done ||
-                        aEvent.mOutcome == StoreOutcome::Absent;
+  const bool answered = aEvent.mOutcome == ObjectOutcome::Done ||
+                        aEvent.mOutcome == ObjectOutcome::Absent;
   if (!answered) {
     mNextRead = aContext.mNow + mReadDelay.Next(aContext.mRandom);
     ++aContext.mBoard.mCounters.mStoreFailures;
@@ -183,7 +183,7 @@
                                                 : kOtherReadInterval,
                                               kReadSpread);
   ObserveStored(aContext,
-                aEvent.mOutcome == StoreOutcome::Done
+                aEvent.mOutcome == ObjectOutcome::Done
                   ? std::optional(aEvent.mObject)
                   : std::nullopt);
 }
@@ -191,10 +191,10 @@
 void
 DocumentController::Handle(Context& aContext, const StoreListEnded& aEvent)
 {
-  if (aEvent.mOutcome != StoreOutcome::Done) {
+  if (aEvent.mOutcome != ObjectOutcome::Done) {
     return;
   }
-  for (const StoreObject& object : aEvent.mObjects) {
+  for (const StoredObject& object : aEvent.mObjects) {
     if (object.mKey == DocumentKey(aContext.mBoard)) {
       ObserveStored(aContext, object);
     }
@@ -203,7 +203,7 @@
 
 void
 DocumentController::ObserveStored(Context& aContext,
-                                  const std::optional<StoreObject>& aObject)
+                                  const std::optional<StoredObject>& aObject)
 {
   Blackboard& board = aContext.mBoard;
   if (aObject) {
@@ -255,7 +255,7 @@
     return;
   }
   // Whatever became of the write, what the store now holds is read again.
-  mNextRead = aContext.mNow + (aEvent.mOutcome == StoreOutcome::Done
+  mNextRead = aContext.mNow + (aEvent.mOutcome == ObjectOutcome::Done
                                  ? Duration::zero()
                                  : mReadDelay.Next(aContext.mRandom));
 }
--- a/src/Membership/MembershipCore.cpp
+++ b/src/Membership/MembershipCore.cpp
@@ -9,11 +9,11 @@
 namespace {
 
 void
-RecordOutcome(StoreStatus& aStatus, StoreOutcome aOutcome, Instant aNow)
+RecordOutcome(StoreStatus& aStatus, ObjectOutcome aOutcome, Instant aNow)
 {
-  aStatus.mReachable = aOutcome == StoreOutcome::Done ||
-                       aOutcome == StoreOutcome::Conflict ||
-                       aOutcome == StoreOutcome::Absent;
+  aStatus.mReachable = aOutcome == ObjectOutcome::Done ||
+                       aOutcome == ObjectOutcome::Conflict ||
+                       aOutcome == ObjectOutcome::Absent;
   if (aStatus.mReachable) {
     aStatus.mLastSuccess = aNow;
   }
--- a/src/Membership/ViewController.cpp
+++ b/src/Membership/ViewController.cpp
@@ -222,7 +222,7 @@
     return;
   }
   source->mInFlight = false;
-  if (aEvent.mOutcome != StoreOutcome::Done) {
+  if (aEvent.mOutcome != ObjectOutcome::Done) {
     ++aBoard.mCounters.mStoreFailures;
     source->mListed = false;
     source->mNextCall = aNow + source->mDelay.Next(aRandom);
@@ -244,7 +244,7 @@
                          const StoreListEnded& aEvent,
                          Instant aNow)
 {
-  for (const StoreObject& object : aEvent.mObjects) {
+  for (const StoredObject& object : aEvent.mObjects) {
     const auto record = ParseRecord(object.mValue);
     if (record && RecordKey(*record) == object.mKey) {
       MergeRecord(
--- a/tests/Ctl/FakeStore.h
+++ b/tests/Ctl/FakeStore.h
@@ -47,16 +47,16 @@
     return Call([&] {
       const auto found = mObjects.find(aKey);
       if (found == mObjects.end()) {
-        return StoreAnswer{ StoreOutcome::Absent, {} };
+        return StoreAnswer{ ObjectOutcome::Absent, {} };
       }
-      return StoreAnswer{ StoreOutcome::Done, { Stored(*found) } };
+      return StoreAnswer{ ObjectOutcome::Done, { Stored(*found) } };
     });
   }
 
   StoreAnswer List(const std::string& aPrefix) override
   {
     return Call([&] {
-      StoreAnswer answer{ StoreOutcome::Done, {} };
+      StoreAnswer answer{ ObjectOutcome::Done, {} };
       for (const auto& item : mObjects) {
         if (item.first.starts_with(aPrefix)) {
           answer.mObjects.push_back(Stored(item));
@@ -75,15 +75,15 @@
       const bool exists = found != mObjects.end();
       if (exists != aVersion.has_value() ||
           (exists && found->second.mVersion != aVersion->Value())) {
-        return StoreAnswer{ StoreOutcome::Conflict, {} };
+        return StoreAnswer{ ObjectOutcome::Conflict, {} };
       }
       Set(aKey, aValue);
-      return StoreAnswer{ StoreOutcome::Done, {} };
+      return StoreAnswer{ ObjectOutcome::Done, {} };
     });
   }
 
 private:
-  static ObjectRecord Stored(const Objects::value_type& aItem)
+  static StoredObject Stored(const Objects::value_type& aItem)
   {
     return { aItem.first,
              ObjectVersion(aItem.second.mVersion),
@@ -96,14 +96,14 @@
       mBeforeCall ? mBeforeCall(mCalls) : StoreFault::None;
     ++mCalls;
     if (fault == StoreFault::Refuse) {
-      return { StoreOutcome::Refused, {} };
+      return { ObjectOutcome::Refused, {} };
     }
     if (fault == StoreFault::LoseBefore) {
-      return { StoreOutcome::Unknown, {} };
+      return { ObjectOutcome::Unknown, {} };
     }
     StoreAnswer answer = aEffect();
     if (fault == StoreFault::LoseAfter) {
-      return { StoreOutcome::Unknown, {} };
+      return { ObjectOutcome::Unknown, {} };
     }
     return answer;
   }
--- a/tests/Matrix/FleetWorld.cpp
+++ b/tests/Matrix/FleetWorld.cpp
@@ -294,7 +294,7 @@
       mNewest = text;
       mAcceptedAt = mFleet.Now();
       mKnownAt.reset();
-    } else if (outcome != StoreOutcome::Conflict) {
+    } else if (outcome != ObjectOutcome::Conflict) {
       Broken("P10", "a racing submission saw no conflict");
     }
   }
--- a/tests/Membership/FakeFleet.h
+++ b/tests/Membership/FakeFleet.h
@@ -37,45 +37,45 @@
   /// Number of writes that take effect although their answer is lost.
   unsigned mLoseAnswers = 0;
   uint64_t mRevision = 0;
-  std::map<std::string, StoreObject> mObjects;
+  std::map<std::string, StoredObject> mObjects;
   uint64_t mReads = 0;
   uint64_t mWrites = 0;
   /// Calls left before the rate limit refuses them; watches don't use them up.
   uint64_t mReadsLeft = UINT64_MAX;
   uint64_t mWritesLeft = UINT64_MAX;
 
-  StoreOutcome Write(const StoreWrite& aWrite, ObjectVersion& aVersion)
+  ObjectOutcome Write(const StoreWrite& aWrite, ObjectVersion& aVersion)
   {
     ++mWrites;
     if (mDown || !Take(mWritesLeft)) {
-      return StoreOutcome::Refused;
+      return ObjectOutcome::Refused;
     }
     const auto found = mObjects.find(aWrite.mKey);
     const StoreCondition current =
       found == mObjects.end() ? StoreCondition() : found->second.mVersion;
     if (current != aWrite.mCondition) {
-      return StoreOutcome::Conflict;
+      return ObjectOutcome::Conflict;
     }
     aVersion = ObjectVersion(++mRevision);
     mObjects[aWrite.mKey] = { aWrite.mKey, aVersion, aWrite.mValue };
     if (mLoseAnswers > 0) {
       --mLoseAnswers;
-      return StoreOutcome::Unknown;
+      return ObjectOutcome::Unknown;
     }
-    return StoreOutcome::Done;
+    return ObjectOutcome::Done;
   }
 
   StoreReadEnded Read(const std::string& aKey)
   {
     ++mReads;
     if (mDown || !Take(mReadsLeft)) {
-      return { aKey, StoreOutcome::Refused, {} };
+      return { aKey, ObjectOutcome::Refused, {} };
     }
     const auto found = mObjects.find(aKey);
     if (found == mObjects.end()) {
-      return { aKey, StoreOutcome::Absent, {} };
+      return { aKey, ObjectOutcome::Absent, {} };
     }
-    return { aKey, StoreOutcome::Done, found->second };
+    return { aKey, ObjectOutcome::Done, found->second };
   }
 
   /// Objects below the prefix that changed after aSince.
@@ -83,10 +83,10 @@
   {
     ++mReads;
     StoreListEnded list{
-      aPrefix, StoreOutcome::Done, aSince == 0, mRevision, {}
+      aPrefix, ObjectOutcome::Done, aSince == 0, mRevision, {}
     };
     if (mDown || (aSince == 0 && !Take(mReadsLeft))) {
-      list.mOutcome = StoreOutcome::Refused;
+      list.mOutcome = ObjectOutcome::Refused;
       return list;
     }
     for (const auto& [key, object] : mObjects) {
@@ -397,7 +397,7 @@
   void Perform(const Address& aFrom, const StoreRead& aRead)
   {
     if (mStoreCut(aFrom)) {
-      Reply(aFrom, StoreReadEnded{ aRead.mKey, StoreOutcome::Refused, {} });
+      Reply(aFrom, StoreReadEnded{ aRead.mKey, ObjectOutcome::Refused, {} });
       return;
     }
     ReplyFromStore(aFrom, mStore.Read(aRead.mKey));
@@ -405,8 +405,8 @@
 
   void Perform(const Address& aFrom, const StoreWrite& aWrite)
   {
-    StoreWriteEnded ended{ aWrite.mKey, StoreOutcome::Unknown, {} };
-    ended.mOutcome = mStoreCut(aFrom) ? StoreOutcome::Refused
+    StoreWriteEnded ended{ aWrite.mKey, ObjectOutcome::Unknown, {} };
+    ended.mOutcome = mStoreCut(aFrom) ? ObjectOutcome::Refused
                                       : mStore.Write(aWrite, ended.mVersion);
     ReplyFromStore(aFrom, ended);
   }
@@ -416,7 +416,7 @@
     if (mStoreCut(aFrom)) {
       Reply(
         aFrom,
-        StoreListEnded{ aList.mPrefix, StoreOutcome::Refused, true, 0, {} });
+        StoreListEnded{ aList.mPrefix, ObjectOutcome::Refused, true, 0, {} });
       return;
     }
     ReplyFromStore(aFrom, mStore.List(aList.mPrefix, 0));
@@ -444,14 +444,14 @@
       list.mComplete = false;
       const bool over = mNow >= watch.mLimit;
       const bool answers = !list.mObjects.empty() ||
-                           list.mOutcome != StoreOutcome::Done ||
+                           list.mOutcome != ObjectOutcome::Done ||
                            mStoreCut(watch.mOwner);
       if (mStore.mWatchesStalled) {
-        list = { watch.mWatch.mPrefix, StoreOutcome::Unknown, false, 0, {} };
+        list = { watch.mWatch.mPrefix, ObjectOutcome::Unknown, false, 0, {} };
       }
       const bool fires = over || (answers && !mStore.mWatchesStalled);
       if (mStoreCut(watch.mOwner)) {
-        list.mOutcome = StoreOutcome::Refused;
+        list.mOutcome = ObjectOutcome::Refused;
         list.mObjects.clear();
       }
       if (!fires) {
--- a/tests/Process/BackendDrained.sh
+++ b/tests/Process/BackendDrained.sh
@@ -8,7 +8,8 @@
 sleep 6
 first_desk=$(server_in_session)
 # A server without work before the drain would show nothing.
-first_store=$(server_with_most_starts "$((desk_servers + 1))" "$all_servers")
+first_store=$(server_with_most_starts "$((desk_servers + 1))" \
+  "$((desk_servers + store_servers))")
 ctl backend drain sizing-desk "$(agent_address "$first_desk")"
 ctl backend drain pattern-store "$(agent_address "$first_store")"
 drained=$(now_ms)
--- a/tests/Process/Common.sh
+++ b/tests/Process/Common.sh
@@ -164,6 +164,13 @@
     sort -n | tail -n 1 | cut -d ' ' -f 2
 }
 
+# server_with_most_starts FIRST LAST prints a server's number.
+server_with_most_starts() {
+  local i
+  for i in $(seq "$1" "$2"); do echo "$(starts "$i" 0) $i"; done |
+    sort -n | tail -n 1 | cut -d ' ' -f 2
+}
+
 request() { curl -s -m 3 --http2-prior-knowledge "$@"; }
 fault() { request -d "$2" "http://$1/fault" >/dev/null; }
 
--- a/tools/bench/MembershipBench.cpp
+++ b/tools/bench/MembershipBench.cpp
@@ -182,7 +182,7 @@
     double bytes = kCallBytes;
     // {"key":"","version":1234567,"value":""} around each object.
     constexpr size_t kObjectBytes = 40;
-    for (const StoreObject& object : list->mObjects) {
+    for (const StoredObject& object : list->mObjects) {
       bytes += static_cast<double>(object.mKey.size() + object.mValue.size() +
                                    kObjectBytes);
     }
