Show the process tests in the fault matrix

Cause: the matrix listed C++ cases only, so 14 tests with the real programs were missing from it. Conclusion: P5, P6 and P7 are now covered under entry deaths, loss, duplication and reordering by processes.

--- a/tools/fault-matrix.py
+++ b/tools/fault-matrix.py
@@ -19,6 +19,10 @@
 PAGE = ROOT / "docs" / "FAULT-MATRIX.md"
 CONF = ROOT / "tools" / "fault-matrix.conf"
 CASE = re.compile(r"BOOST_(?:AUTO|FIXTURE|DATA)_TEST_CASE\(\s*(\w+)")
+PROCESS = re.compile(r"^process_test\((\w+) (\w+)", re.MULTILINE)
+# What the checks of tests/Process/Common.sh judge besides a test's labels.
+PROCESS_CHECKS = {"expect_honest": ["P5", "P6", "P7"],
+                  "expect_unbroken": ["P1"]}
 SEED = re.compile(r"\bk\w*Seed\s*=\s*(\w+);")
 TABLES = ("faults", "steps")
 
@@ -56,6 +60,21 @@
                 "words": labels[2],
                 "seed": seed[1] if seed else None,
             }
+    tests.update(read_process_tests())
+    return tests
+
+
+def read_process_tests():
+    tests = {}
+    folder = ROOT / "tests" / "Process"
+    for case, script in PROCESS.findall((folder / "CMakeLists.txt").read_text()):
+        labels = re.match(r"((?:P\d+_)+)(.*)", case)
+        text = (folder / f"{script}.sh").read_text()
+        rows = set(labels[1].strip("_").split("_"))
+        for check, implied in PROCESS_CHECKS.items():
+            rows.update(implied if check in text else [])
+        tests[f"Process/{script}/{case}"] = {
+            "rows": sorted(rows), "words": labels[2], "seed": "1"}
     return tests
 
 
