--- a/tests/tools/bench/PolicyBoundsTest.cpp
+++ b/tests/tools/bench/PolicyBoundsTest.cpp
@@ -10,11 +10,11 @@
 size_t
 ColdOverloads(Situation aSituation, bool aRamp, uint64_t aSeed)
 {
-  SimOptions options{
+  ModelOptions options{
     .mSite = kCorrib, .mSituation = aSituation, .mSeed = aSeed, .mLength = 20s
   };
   options.mAgent.mGuards.mColdRamp = aRamp;
-  return RunPolicySim(options).mColdOverloads;
+  return RunPolicyModel(options).mColdOverloads;
 }
 
 } // namespace
--- a/tools/bench/PolicyBench.cpp
+++ b/tools/bench/PolicyBench.cpp
@@ -53,7 +53,7 @@
 struct Named
 {
   std::string mName;
-  SimOptions mOptions;
+  ModelOptions mOptions;
 };
 
 struct NamedPolicy
@@ -90,7 +90,7 @@
 };
 constexpr Scene kOverload = kScenes[6];
 
-SimOptions
+ModelOptions
 MakeOptions(const Site& aSite, const Scene& aScene)
 {
   return { .mSite = aSite,
@@ -124,7 +124,7 @@
 std::vector<SeedFigures>
 Run(const std::vector<Named>& aRuns)
 {
-  std::vector<SimOptions> options;
+  std::vector<ModelOptions> options;
   for (const Named& run : aRuns) {
     options.push_back(run.mOptions);
   }
@@ -195,7 +195,7 @@
                        "queries in time %",
                        "bulk in time %" });
   for (const NamedPolicy& policy : kPolicies) {
-    std::vector<SimOptions> runs;
+    std::vector<ModelOptions> runs;
     for (const double load : { 0.9, 1.0, 1.2, 1.5, 3.0 }) {
       runs.push_back(MakeOptions(aSite, kOverload));
       runs.back().mPolicy = policy.mKind;
@@ -221,7 +221,7 @@
 {
   const char* mName;
   std::vector<double> mValues;
-  void (*mApply)(SimOptions&, double);
+  void (*mApply)(ModelOptions&, double);
 };
 
 std::vector<Setting>
@@ -230,7 +230,7 @@
   return {
     { "threshold",
       { 0, 2, 6, 8 },
-      [](SimOptions& aOptions, double aValue) {
+      [](ModelOptions& aOptions, double aValue) {
         // 0 stands for the current limit.
         if (aValue > 0) {
           aOptions.mConfig.mThreshold = static_cast<uint32_t>(aValue);
@@ -238,22 +238,22 @@
       } },
     { "queue per slot",
       { 2, 4, 8, 16 },
-      [](SimOptions& aOptions, double aValue) {
+      [](ModelOptions& aOptions, double aValue) {
         aOptions.mAgent.mQueuePerSlot = static_cast<uint32_t>(aValue);
       } },
     { "slots without bulk",
       { 0, 1, 2 },
-      [](SimOptions& aOptions, double aValue) {
+      [](ModelOptions& aOptions, double aValue) {
         aOptions.mAgent.mSlotsWithoutBulk = static_cast<uint32_t>(aValue);
       } },
     { "refuse by estimate",
       { 0, 1 },
-      [](SimOptions& aOptions, double aValue) {
+      [](ModelOptions& aOptions, double aValue) {
         aOptions.mAgent.mRefuseByEstimate = aValue > 0;
       } },
     { "retry ratio",
       { 0, 0.1, 0.5 },
-      [](SimOptions& aOptions, double aValue) {
+      [](ModelOptions& aOptions, double aValue) {
         aOptions.mAgent.mRetry.mRatio = aValue;
       } },
   };
--- a/tools/bench/PolicyEntry.h
+++ b/tools/bench/PolicyEntry.h
@@ -6,7 +6,7 @@
 #include <snipepost/Base/Random.h>
 #include <snipepost/Routing/FirstPacketPolicy.h>
 
-#include "tools/bench/PolicySim.h"
+#include "tools/bench/PolicyModel.h"
 
 namespace snipepost::bench {
 
--- a/tools/bench/PolicyFigures.cpp
+++ b/tools/bench/PolicyFigures.cpp
@@ -51,9 +51,9 @@
 } // namespace
 
 Figures
-FiguresOf(const SimOptions& aOptions)
+FiguresOf(const ModelOptions& aOptions)
 {
-  SimResult result = RunPolicySim(aOptions);
+  ModelResult result = RunPolicyModel(aOptions);
   Figures figures{};
   const auto set = [&figures](Figure aFigure, double aValue) {
     figures[static_cast<size_t>(aFigure)] = aValue;
@@ -86,13 +86,13 @@
 }
 
 std::vector<SeedFigures>
-RunAllSeeds(const std::vector<SimOptions>& aRuns)
+RunAllSeeds(const std::vector<ModelOptions>& aRuns)
 {
   std::vector<SeedFigures> results(aRuns.size(), SeedFigures(kSeeds));
   std::atomic<size_t> next{ 0 };
   const auto work = [&] {
     for (size_t i = next++; i < aRuns.size() * kSeeds; i = next++) {
-      SimOptions options = aRuns[i / kSeeds];
+      ModelOptions options = aRuns[i / kSeeds];
       options.mSeed = 1 + i % kSeeds;
       results[i / kSeeds][i % kSeeds] = FiguresOf(options);
     }
--- a/tools/bench/PolicyFigures.h
+++ b/tools/bench/PolicyFigures.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "tools/bench/PolicySim.h"
+#include "tools/bench/PolicyModel.h"
 
 namespace snipepost::bench {
 
@@ -55,7 +55,7 @@
 /// The figures of aOptions for each seed, run on a few threads.
 using SeedFigures = std::vector<Figures>;
 std::vector<SeedFigures>
-RunAllSeeds(const std::vector<SimOptions>& aRuns);
+RunAllSeeds(const std::vector<ModelOptions>& aRuns);
 
 /// One figure of all seeds as "mean (least-greatest)".
 std::string
@@ -67,6 +67,6 @@
 ValuesOf(const SeedFigures& aSeeds, Figure aFigure);
 
 Figures
-FiguresOf(const SimOptions& aOptions);
+FiguresOf(const ModelOptions& aOptions);
 
 } // namespace snipepost::bench
--- a/tools/bench/PolicySim.cpp
+++ b/tools/bench/PolicyModel.cpp
@@ -1,4 +1,4 @@
-#include "tools/bench/PolicySimulation.h"
+#include "tools/bench/PolicyModelState.h"
 
 #include <array>
 
@@ -21,7 +21,7 @@
 
 } // namespace
 
-Simulation::Simulation(const SimOptions& aOptions)
+PolicyModel::PolicyModel(const ModelOptions& aOptions)
   : mOptions(aOptions)
   , mWorkload(MakeWorkload(aOptions.mLoad,
                            kStart - kWarmUp,
@@ -48,7 +48,7 @@
 }
 
 void
-Simulation::StartCounting()
+PolicyModel::StartCounting()
 {
   mResult = {};
   mResult.mPerServer.resize(kDeskServers);
@@ -56,13 +56,13 @@
 }
 
 void
-Simulation::At(Instant aTime, Action aAction)
+PolicyModel::At(Instant aTime, Action aAction)
 {
   mQueue.push({ aTime, mOrder++, std::move(aAction) });
 }
 
 void
-Simulation::Plan()
+PolicyModel::Plan()
 {
   for (size_t i = 0; i < mWorkload.size(); ++i) {
     mFlows.push_back({ .mPlan = &mWorkload[i] });
@@ -91,7 +91,7 @@
 }
 
 void
-Simulation::PlanSituation()
+PolicyModel::PlanSituation()
 {
   if (mOptions.mSituation == Situation::DomainLeaves) {
     At(kStart + 5s, [this] { ChangeDomain(true); });
@@ -112,7 +112,7 @@
 }
 
 void
-Simulation::PlanRestart(size_t aServer, Instant aTime)
+PolicyModel::PlanRestart(size_t aServer, Instant aTime)
 {
   At(aTime, [this, aServer] {
     ServerModel& server = mAgents[aServer].mServer;
@@ -135,7 +135,7 @@
 }
 
 void
-Simulation::ChangeDomain(bool aOut)
+PolicyModel::ChangeDomain(bool aOut)
 {
   mOut[kLeavingDomain] = aOut;
   UpdateEntries();
@@ -149,7 +149,7 @@
 }
 
 void
-Simulation::UpdateEntries()
+PolicyModel::UpdateEntries()
 {
   for (size_t i = 0; i < kEntries; ++i) {
     After(kEntryLag[i], [this, i, eligible = mEligible, out = mOut] {
@@ -159,7 +159,7 @@
 }
 
 void
-Simulation::Configure(size_t aServer, const AgentConfig& aConfig)
+PolicyModel::Configure(size_t aServer, const AgentConfig& aConfig)
 {
   const bool returns =
     mOptions.mSituation == Situation::DomainLeaves && !aConfig.mDomainOut;
@@ -172,7 +172,7 @@
 }
 
 void
-Simulation::Sample()
+PolicyModel::Sample()
 {
   for (size_t i = 0; i < kServers; ++i) {
     Deliver(i, Tick{});
@@ -186,7 +186,7 @@
 }
 
 void
-Simulation::ReportLoads()
+PolicyModel::ReportLoads()
 {
   std::vector<double> loads;
   for (size_t i = 0; i < kServers; ++i) {
@@ -211,8 +211,8 @@
   After(kReports, [this] { ReportLoads(); });
 }
 
-SimResult
-Simulation::Run()
+ModelResult
+PolicyModel::Run()
 {
   Plan();
   const Instant end = kStart + mOptions.mLength + kSettle;
@@ -225,10 +225,10 @@
   return std::move(mResult);
 }
 
-SimResult
-RunPolicySim(const SimOptions& aOptions)
+ModelResult
+RunPolicyModel(const ModelOptions& aOptions)
 {
-  return Simulation(aOptions).Run();
+  return PolicyModel(aOptions).Run();
 }
 
 } // namespace snipepost::bench
--- a/tools/bench/PolicySim.h
+++ b/tools/bench/PolicyModel.h
@@ -40,7 +40,7 @@
   RollingCold
 };
 
-struct SimOptions
+struct ModelOptions
 {
   Site mSite;
   PolicyKind mPolicy = PolicyKind::Hunting;
@@ -65,7 +65,7 @@
 
 constexpr Duration kBucket = std::chrono::milliseconds(100);
 
-struct SimResult
+struct ModelResult
 {
   size_t mRequests = 0;
   size_t mGood = 0;
@@ -93,7 +93,7 @@
 
 /// Runs callers, entry instances and servers in virtual time around real agent
 /// cores, policies and snapshots. Deterministic.
-SimResult
-RunPolicySim(const SimOptions& aOptions);
+ModelResult
+RunPolicyModel(const ModelOptions& aOptions);
 
 } // namespace snipepost::bench
--- a/tools/bench/PolicySimFlows.cpp
+++ b/tools/bench/PolicyModelFlows.cpp
@@ -1,4 +1,4 @@
-#include "tools/bench/PolicySimulation.h"
+#include "tools/bench/PolicyModelState.h"
 
 #include <algorithm>
 
@@ -19,14 +19,14 @@
 } // namespace
 
 Duration
-Simulation::HopTime(size_t aDomainA, size_t aDomainB) const
+PolicyModel::HopTime(size_t aDomainA, size_t aDomainB) const
 {
   constexpr Duration kWithinDomain = 200us;
   return aDomainA == aDomainB ? kWithinDomain : mOptions.mSite.mBetweenDomains;
 }
 
 FlowKey
-Simulation::KeyOf(const FlowModel& aFlow) const
+PolicyModel::KeyOf(const FlowModel& aFlow) const
 {
   // Each opening uses another port, hence another key.
   constexpr uint64_t kStep = 0x9e3779b97f4a7c15;
@@ -34,7 +34,7 @@
 }
 
 void
-Simulation::Open(size_t aFlow)
+PolicyModel::Open(size_t aFlow)
 {
   FlowModel& flow = mFlows[aFlow];
   ++flow.mConnection;
@@ -49,7 +49,7 @@
 }
 
 void
-Simulation::SendOpening(size_t aFlow, uint32_t aFlight)
+PolicyModel::SendOpening(size_t aFlow, uint32_t aFlight)
 {
   const FlowModel& flow = mFlows[aFlow];
   if (aFlight == kFlights) {
@@ -78,11 +78,11 @@
 }
 
 void
-Simulation::ArriveOpening(size_t aFlow,
-                          uint64_t aConnection,
-                          const Offer& aOffer,
-                          uint8_t aIndex,
-                          uint8_t aHops)
+PolicyModel::ArriveOpening(size_t aFlow,
+                           uint64_t aConnection,
+                           const Offer& aOffer,
+                           uint8_t aIndex,
+                           uint8_t aHops)
 {
   const FlowModel& flow = mFlows[aFlow];
   if (flow.mConnection != aConnection || flow.mServer != kNoServer) {
@@ -125,7 +125,7 @@
 }
 
 void
-Simulation::Accepted(size_t aFlow, size_t aServer)
+PolicyModel::Accepted(size_t aFlow, size_t aServer)
 {
   FlowModel& flow = mFlows[aFlow];
   flow.mServer = aServer;
@@ -138,7 +138,7 @@
 }
 
 void
-Simulation::Refused(size_t aFlow)
+PolicyModel::Refused(size_t aFlow)
 {
   FlowModel& flow = mFlows[aFlow];
   if (++flow.mAttempts >= kOpenings) {
@@ -155,7 +155,7 @@
 }
 
 void
-Simulation::SendSecond(size_t aFlow, uint64_t aConnection, uint32_t aFlight)
+PolicyModel::SendSecond(size_t aFlow, uint64_t aConnection, uint32_t aFlight)
 {
   FlowModel& flow = mFlows[aFlow];
   if (flow.mConnection != aConnection || flow.mOpen || flow.mFailed) {
@@ -186,11 +186,11 @@
 }
 
 void
-Simulation::ArriveSecond(size_t aFlow,
-                         uint64_t aConnection,
-                         const Offer& aOffer,
-                         uint8_t aIndex,
-                         uint8_t aHops)
+PolicyModel::ArriveSecond(size_t aFlow,
+                          uint64_t aConnection,
+                          const Offer& aOffer,
+                          uint8_t aIndex,
+                          uint8_t aHops)
 {
   const FlowModel& flow = mFlows[aFlow];
   if (flow.mConnection != aConnection) {
@@ -219,7 +219,7 @@
 }
 
 void
-Simulation::Established(size_t aFlow, uint64_t aConnection)
+PolicyModel::Established(size_t aFlow, uint64_t aConnection)
 {
   // The answer reaches the caller, whose requests follow.
   const FlowModel& flow = mFlows[aFlow];
@@ -240,7 +240,7 @@
 }
 
 void
-Simulation::Fail(size_t aFlow)
+PolicyModel::Fail(size_t aFlow)
 {
   FlowModel& flow = mFlows[aFlow];
   flow.mFailed = true;
@@ -248,14 +248,14 @@
 }
 
 void
-Simulation::Reopen(size_t aFlow)
+PolicyModel::Reopen(size_t aFlow)
 {
   Close(aFlow);
   Open(aFlow);
 }
 
 void
-Simulation::Close(size_t aFlow)
+PolicyModel::Close(size_t aFlow)
 {
   FlowModel& flow = mFlows[aFlow];
   if (flow.mServer != kNoServer) {
@@ -273,7 +273,7 @@
 }
 
 void
-Simulation::CloseFlowOf(size_t aServer, FlowId aFlow, bool aBroken)
+PolicyModel::CloseFlowOf(size_t aServer, FlowId aFlow, bool aBroken)
 {
   const auto found = mOwned[aServer].find(aFlow);
   if (found == mOwned[aServer].end()) {
--- a/tools/bench/PolicySimRequests.cpp
+++ b/tools/bench/PolicyModelRequests.cpp
@@ -1,4 +1,4 @@
-#include "tools/bench/PolicySimulation.h"
+#include "tools/bench/PolicyModelState.h"
 
 #include <algorithm>
 
@@ -19,7 +19,7 @@
 } // namespace
 
 void
-Simulation::Submit(size_t aFlow, size_t aRequest)
+PolicyModel::Submit(size_t aFlow, size_t aRequest)
 {
   FlowModel& flow = mFlows[aFlow];
   if (mNow >= kStart) {
@@ -37,7 +37,7 @@
 }
 
 void
-Simulation::SendRequest(size_t aFlow, size_t aRequest)
+PolicyModel::SendRequest(size_t aFlow, size_t aRequest)
 {
   const FlowModel& flow = mFlows[aFlow];
   const PlannedRequest& plan = flow.mPlan->mRequests[aRequest];
@@ -52,7 +52,7 @@
       mOwned[server], aFlow, &std::map<FlowId, size_t>::value_type::second);
     if (owner == mOwned[server].end()) {
       // The flow ended on the way; its agent never saw the request.
-      CountOutcome(id, &SimResult::mNotRun);
+      CountOutcome(id, &ModelResult::mNotRun);
       return;
     }
     Deliver(
@@ -66,7 +66,7 @@
 }
 
 void
-Simulation::Deliver(size_t aServer, const Event& aEvent)
+PolicyModel::Deliver(size_t aServer, const Event& aEvent)
 {
   for (const Effect& effect : mAgents[aServer].mCore.Handle(aEvent, mNow)) {
     Apply(aServer, effect);
@@ -74,14 +74,14 @@
 }
 
 void
-Simulation::Apply(size_t aServer, const Effect& aEffect)
+PolicyModel::Apply(size_t aServer, const Effect& aEffect)
 {
   if (const auto* pass = std::get_if<PassOn>(&aEffect)) {
     PassRequest(aServer, *pass);
   } else if (const auto* reject = std::get_if<Reject>(&aEffect)) {
-    CountOutcome(reject->mRequest, &SimResult::mNotRun);
+    CountOutcome(reject->mRequest, &ModelResult::mNotRun);
   } else if (const auto* unknown = std::get_if<AnswerUnknown>(&aEffect)) {
-    CountOutcome(unknown->mRequest, &SimResult::mUnknown);
+    CountOutcome(unknown->mRequest, &ModelResult::mUnknown);
   } else if (const auto* cancel = std::get_if<Cancel>(&aEffect)) {
     const RequestId id = cancel->mRequest;
     mAgents[aServer].mServer.mRunning.erase(id);
@@ -104,7 +104,7 @@
 }
 
 void
-Simulation::PassRequest(size_t aServer, const PassOn& aEffect)
+PolicyModel::PassRequest(size_t aServer, const PassOn& aEffect)
 {
   ServerModel& server = mAgents[aServer].mServer;
   const RequestId id = aEffect.mRequest;
@@ -134,7 +134,7 @@
 }
 
 void
-Simulation::Finish(size_t aServer, RequestId aRequest, BackendOutcome aOutcome)
+PolicyModel::Finish(size_t aServer, RequestId aRequest, BackendOutcome aOutcome)
 {
   if (aOutcome == BackendOutcome::Answered) {
     const Duration back =
@@ -145,7 +145,7 @@
 }
 
 void
-Simulation::Answer(RequestId aRequest)
+PolicyModel::Answer(RequestId aRequest)
 {
   const auto found = mPending.find(aRequest);
   if (found == mPending.end()) {
@@ -175,7 +175,7 @@
 }
 
 void
-Simulation::CountOutcome(RequestId aRequest, size_t SimResult::*aCounter)
+PolicyModel::CountOutcome(RequestId aRequest, size_t ModelResult::*aCounter)
 {
   // Callers learn of it some milliseconds later, which no figure depends on.
   const auto found = mPending.find(aRequest);
--- a/tools/bench/PolicySimulation.h
+++ b/tools/bench/PolicyModelState.h
@@ -12,7 +12,7 @@
 
 #include "tools/bench/PolicyEntry.h"
 #include "tools/bench/PolicyServer.h"
-#include "tools/bench/PolicySim.h"
+#include "tools/bench/PolicyModel.h"
 #include "tools/bench/PolicyWorkload.h"
 
 namespace snipepost::bench {
@@ -52,12 +52,12 @@
   size_t mServer = kNoServer;
 };
 
-/// One run; see RunPolicySim().
-class Simulation
+/// One run; see RunPolicyModel().
+class PolicyModel
 {
 public:
-  explicit Simulation(const SimOptions& aOptions);
-  SimResult Run();
+  explicit PolicyModel(const ModelOptions& aOptions);
+  ModelResult Run();
 
 private:
   using Action = std::function<void()>;
@@ -115,13 +115,13 @@
   void PassRequest(size_t aServer, const PassOn& aEffect);
   void Finish(size_t aServer, RequestId aRequest, BackendOutcome aOutcome);
   void Answer(RequestId aRequest);
-  void CountOutcome(RequestId aRequest, size_t SimResult::*aCounter);
+  void CountOutcome(RequestId aRequest, size_t ModelResult::*aCounter);
   void CloseFlowOf(size_t aServer, FlowId aFlow, bool aBroken);
   Duration HopTime(size_t aDomainA, size_t aDomainB) const;
   FlowKey KeyOf(const FlowModel& aFlow) const;
   size_t PickEntry() { return mSpray.Below(kEntries); }
 
-  SimOptions mOptions;
+  ModelOptions mOptions;
   Instant mNow = kStart - kWarmUp;
   uint64_t mOrder = 0;
   std::priority_queue<Scheduled> mQueue;
@@ -138,7 +138,7 @@
   uint64_t mLastRequest = 0;
   uint64_t mLastRun = 0;
   Random mSpray;
-  SimResult mResult;
+  ModelResult mResult;
 };
 
 } // namespace snipepost::bench
--- a/tools/bench/PolicyPlot.cpp
+++ b/tools/bench/PolicyPlot.cpp
@@ -119,13 +119,13 @@
              "p99 of submissions and queries per 100 ms, in ms (cut at 500)");
   double legend = kLeft;
   for (const Line& line : kLines) {
-    const SimResult result =
-      RunPolicySim({ .mSite = kCorrib,
-                     .mPolicy = line.mKind,
-                     .mSituation = Situation::DomainLeaves,
-                     .mLoad = 0.6,
-                     .mSeed = 1,
-                     .mLength = kShown });
+    const ModelResult result =
+      RunPolicyModel({ .mSite = kCorrib,
+                       .mPolicy = line.mKind,
+                       .mSituation = Situation::DomainLeaves,
+                       .mLoad = 0.6,
+                       .mSeed = 1,
+                       .mLength = kShown });
     std::vector<double> good;
     std::vector<double> latency;
     for (size_t i = 0; i < static_cast<size_t>(kShown / kBucket); ++i) {
