--- a/tests/Process/BackendRestarted.sh
+++ b/tests/Process/BackendRestarted.sh
@@ -4,7 +4,8 @@
 ramp=6
 source "$(dirname "$0")/Common.sh"
 deploy --cold-seconds 6
-start_load 24 --submissions 120 --queries 200
+# Short flows, so that the restarted server soon is chosen.
+start_load 24 --submissions 120 --queries 200 --flow-life 2
 sleep 5
 end backend1
 sleep 1
