--- a/src/Daemon/RequestPipeline.cpp
+++ b/src/Daemon/RequestPipeline.cpp
@@ -92,6 +92,13 @@
 {
 }
 
+RequestPipeline::Active*
+RequestPipeline::Find(RequestId aRequest)
+{
+  const auto found = mActive.find(aRequest);
+  return found == mActive.end() ? nullptr : &found->second;
+}
+
 RequestId
 RequestPipeline::Add(CallerRequest aRequest,
                      std::unique_ptr<ResponseSink> aSink)
@@ -108,11 +115,11 @@
 RequestPipeline::Perform(const PassOn& aEffect)
 {
   const RequestId id = aEffect.mRequest;
-  const auto found = mActive.find(id);
-  if (found == mActive.end()) {
+  Active* found = Find(id);
+  if (!found) {
     return;
   }
-  Active& active = found->second;
+  Active& active = *found;
   active.mCalling = true;
   active.mResponse = {};
   mCounters.mPassedOn.Add();
@@ -201,11 +208,11 @@
 void
 RequestPipeline::Perform(const Reject& aEffect)
 {
-  const auto found = mActive.find(aEffect.mRequest);
-  if (found == mActive.end()) {
+  Active* found = Find(aEffect.mRequest);
+  if (!found) {
     return;
   }
-  Active& active = found->second;
+  Active& active = *found;
   mCounters.mNotRun.Add();
   if (active.mSink) {
     active.mSink->Reject();
@@ -217,11 +224,11 @@
 void
 RequestPipeline::Perform(const AnswerUnknown& aEffect)
 {
-  const auto found = mActive.find(aEffect.mRequest);
-  if (found == mActive.end()) {
+  Active* found = Find(aEffect.mRequest);
+  if (!found) {
     return;
   }
-  Active& active = found->second;
+  Active& active = *found;
   mCounters.mUnknown.Add();
   SendUnknown(active);
   EraseWhenDone(aEffect.mRequest);
@@ -248,11 +255,11 @@
 void
 RequestPipeline::Perform(const AnswerStored& aEffect)
 {
-  const auto found = mActive.find(aEffect.mRequest);
-  if (found == mActive.end()) {
+  Active* found = Find(aEffect.mRequest);
+  if (!found) {
     return;
   }
-  Active& active = found->second;
+  Active& active = *found;
   const auto response =
     aEffect.mResponse ? UnpackResponse(*aEffect.mResponse) : std::nullopt;
   mCounters.mStored.Add();
@@ -282,11 +289,11 @@
 RequestPipeline::Perform(const Relay& aEffect)
 {
   const RequestId id = aEffect.mRequest;
-  const auto found = mActive.find(id);
-  if (found == mActive.end()) {
+  Active* found = Find(id);
+  if (!found) {
     return;
   }
-  Active& active = found->second;
+  Active& active = *found;
   active.mCalling = true;
   mCounters.mRelayed.Add();
   http2::Request request =
@@ -354,11 +361,11 @@
 void
 RequestPipeline::Forget(RequestId aRequest)
 {
-  const auto found = mActive.find(aRequest);
-  if (found == mActive.end()) {
+  Active* found = Find(aRequest);
+  if (!found) {
     return;
   }
-  Active& active = found->second;
+  Active& active = *found;
   active.mSink.reset();
   if (active.mCall && !active.mPending.empty()) {
     mBackend.Consume(*active.mCall, active.mPending.size());
--- a/src/Daemon/RequestPipeline.h
+++ b/src/Daemon/RequestPipeline.h
@@ -75,7 +75,6 @@
     std::string mPending;   ///< Body bytes that the caller has no room for yet.
     bool mComplete = false; ///< The response ends after mPending.
   };
-  using Entry = std::map<RequestId, Active>::iterator;
 
   /// Metrics of requests.
   struct Counters
@@ -90,6 +89,8 @@
     LatencyHistogram& mLatency;
   };
 
+  /// The request, or null when it is settled.
+  Active* Find(RequestId aRequest);
   void OnHeaders(RequestId aRequest, int aStatus, http2::Headers aHeaders);
   void OnData(RequestId aRequest, http2::Chunk aChunk);
   void OnEnd(RequestId aRequest, http2::Result aResult);
