Mend the linter's findings in the fleet matrix

Cause: a loop variable narrower than its bound, and a structured binding that clang 14 can't capture; neither file had been linted. Change: both rewritten; nothing else in them changes.

--- a/tests/Matrix/FleetPackets.cpp
+++ b/tests/Matrix/FleetPackets.cpp
@@ -85,7 +85,7 @@
     }
   }
   Address from = aEntry;
-  uint8_t at = 0;
+  size_t at = 0;
   for (uint8_t hops = 0; at < candidates.size(); ++hops) {
     const Address to = candidates[at];
     if (!mFleet.Live(to) || mFleet.mCut(from, to)) {
@@ -100,7 +100,7 @@
     packet.mKind = owned      ? PacketKind::Owned
                    : aInitial ? PacketKind::Opening
                               : PacketKind::Unknown;
-    packet.mOwnIndex = at;
+    packet.mOwnIndex = static_cast<uint8_t>(at);
     packet.mCandidates = static_cast<uint8_t>(candidates.size());
     packet.mPresent = std::min<uint8_t>(2, packet.mCandidates);
     packet.mHops = hops;
--- a/tests/Matrix/FleetWorld.cpp
+++ b/tests/Matrix/FleetWorld.cpp
@@ -468,7 +468,9 @@
       }
     }
   }
-  for (const auto& [address, agent] : mAgents) {
+  for (const auto& known : mAgents) {
+    // Clang 14 can't capture a structured binding.
+    const Address& address = known.first;
     const InstanceRecord& record = mRecords.at(address);
     if (!mFleet.Live(address) || mOutSince.contains(record.mDomain) ||
         mDrainSince.contains(address)) {
