--- a/tools/fault-matrix.py
+++ b/tools/fault-matrix.py
@@ -69,6 +69,8 @@
     folder = ROOT / "tests" / "Process"
     for case, script in PROCESS.findall((folder / "CMakeLists.txt").read_text()):
         labels = re.match(r"((?:P\d+_)+)(.*)", case)
+        if not labels:
+            continue
         text = (folder / f"{script}.sh").read_text()
         rows = set(labels[1].strip("_").split("_"))
         for check, implied in PROCESS_CHECKS.items():
