Demo: 40 callers for each service

Cause: with 8 callers and flows of 5 s a run opened 103 flows for 10 servers, so max/mean of the requests was 1.98 by the grain of so few flows. Change: 40 callers at the same rates. Conclusion: the demo shows the policy's balance; rates and checks are the same.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -26,7 +26,7 @@
 sleep 4
 
 "$bin/callers" --service "$service_1" --bulk-service "$service_2" \
-  --seconds "${seconds:-20}" --submissions 40 --queries 120 --bulk 4 \
+  --seconds "${seconds:-20}" --callers 40 --submissions 40 --queries 120 --bulk 4 \
   --sessions 1 --flow-life 5 \
   --journals "$work"/backend[1-7].journal \
   --bulk-journals "$work"/backend{8,9,10}.journal --expect-clean
