Matrix tests: share the parts of schedule generators

Cause: the agent's and the fleet's schedules had the same step type, step generator and composition of traffic with two faults, 60 lines twice. Change: ScheduleParts.h holds them once.

--- a/tests/Matrix/FleetSteps.cpp
+++ b/tests/Matrix/FleetSteps.cpp
@@ -46,22 +46,6 @@
 constexpr size_t kFirstAgent = 100;
 constexpr size_t kAgents = 8;
 
-rc::Gen<FleetStep>
-StepOf(rc::Gen<FleetAction> aAction)
-{
-  return rc::gen::build<FleetStep>(
-    rc::gen::set(&FleetStep::mAction, std::move(aAction)),
-    rc::gen::set(&FleetStep::mFirst, rc::gen::inRange<uint8_t>(0, 64)),
-    rc::gen::set(&FleetStep::mSecond, rc::gen::inRange<uint8_t>(0, 64)));
-}
-
-rc::Gen<FleetAction>
-Between(uint8_t aFirst, uint8_t aEnd)
-{
-  return rc::gen::map(rc::gen::inRange<uint8_t>(aFirst, aEnd),
-                      [](uint8_t aValue) { return FleetAction{ aValue }; });
-}
-
 rc::Gen<FleetAction>
 Traffic()
 {
@@ -69,7 +53,7 @@
     { { 4, rc::gen::just(FleetAction::Open) },
       { 3, rc::gen::just(FleetAction::Advance) },
       { 1, rc::gen::just(FleetAction::AdvanceLong) },
-      { 3, Between(kFirstPlanned, kFirstFleetFault) } });
+      { 3, Between<FleetAction>(kFirstPlanned, kFirstFleetFault) } });
 }
 
 } // namespace
@@ -89,7 +73,7 @@
     rc::gen::container<FleetSchedule>(
       StepOf(rc::gen::weightedOneOf<FleetAction>(
         { { 4, Traffic() },
-          { 1, Between(kFirstFleetFault, kFleetActions) } }))));
+          { 1, Between<FleetAction>(kFirstFleetFault, kFleetActions) } }))));
 }
 
 rc::Gen<FleetSchedule>
@@ -97,21 +81,7 @@
 {
   const auto traffic =
     rc::gen::scale(0.1, rc::gen::container<FleetSchedule>(StepOf(Traffic())));
-  return rc::gen::map(rc::gen::tuple(traffic,
-                                     StepOf(rc::gen::just(aFirst)),
-                                     traffic,
-                                     StepOf(rc::gen::just(aSecond)),
-                                     traffic),
-                      [](const auto& aParts) {
-                        const auto& [before, first, between, second, after] =
-                          aParts;
-                        FleetSchedule all = before;
-                        all.push_back(first);
-                        all.insert(all.end(), between.begin(), between.end());
-                        all.push_back(second);
-                        all.insert(all.end(), after.begin(), after.end());
-                        return all;
-                      });
+  return TrafficAround(traffic, aFirst, aSecond);
 }
 
 rc::Gen<FleetSchedule>
--- a/tests/Matrix/FleetWorld.h
+++ b/tests/Matrix/FleetWorld.h
@@ -18,6 +18,7 @@
 #include <snipepost/View/SnapshotBuilder.h>
 
 #include <tests/Matrix/Checkers.h>
+#include <tests/Matrix/ScheduleParts.h>
 #include <tests/Membership/FakeFleet.h>
 
 namespace snipepost::matrix {
@@ -73,15 +74,7 @@
 constexpr auto kFirstPlanned = static_cast<uint8_t>(FleetAction::DomainOut);
 constexpr auto kFirstFleetFault = static_cast<uint8_t>(FleetAction::EntryDies);
 
-struct FleetStep
-{
-  FleetAction mAction = FleetAction::Advance;
-  uint8_t mFirst = 0;
-  uint8_t mSecond = 0;
-
-  bool operator==(const FleetStep&) const = default;
-};
-
+using FleetStep = BasicStep<FleetAction>;
 using FleetSchedule = std::vector<FleetStep>;
 
 std::ostream&
--- a/tests/Matrix/Schedule.cpp
+++ b/tests/Matrix/Schedule.cpp
@@ -16,22 +16,6 @@
   "NewConfig"
 };
 
-rc::Gen<Step>
-StepOf(rc::Gen<Action> aAction)
-{
-  return rc::gen::build<Step>(
-    rc::gen::set(&Step::mAction, std::move(aAction)),
-    rc::gen::set(&Step::mFirst, rc::gen::inRange<uint8_t>(0, 64)),
-    rc::gen::set(&Step::mSecond, rc::gen::inRange<uint8_t>(0, 64)));
-}
-
-rc::Gen<Action>
-Between(uint8_t aFirst, uint8_t aEnd)
-{
-  return rc::gen::map(rc::gen::inRange<uint8_t>(aFirst, aEnd),
-                      [](uint8_t aValue) { return Action{ aValue }; });
-}
-
 /// Mostly requests and time, so that faults meet work in progress.
 rc::Gen<Action>
 Traffic()
@@ -41,7 +25,7 @@
     { 2, rc::gen::just(Action::Burst) },
     { 3, rc::gen::just(Action::Duplicate) },
     { 6, rc::gen::just(Action::Advance) },
-    { 5, Between(0, kFirstFault) },
+    { 5, Between<Action>(0, kFirstFault) },
   });
 }
 
@@ -58,7 +42,7 @@
 AnySchedule()
 {
   return rc::gen::container<Schedule>(StepOf(rc::gen::weightedOneOf<Action>(
-    { { 5, Traffic() }, { 1, Between(kFirstFault, kActions) } })));
+    { { 5, Traffic() }, { 1, Between<Action>(kFirstFault, kActions) } })));
 }
 
 rc::Gen<Schedule>
@@ -66,21 +50,7 @@
 {
   const auto traffic =
     rc::gen::scale(0.2, rc::gen::container<Schedule>(StepOf(Traffic())));
-  return rc::gen::map(rc::gen::tuple(traffic,
-                                     StepOf(rc::gen::just(aFirst)),
-                                     traffic,
-                                     StepOf(rc::gen::just(aSecond)),
-                                     traffic),
-                      [](const auto& aParts) {
-                        const auto& [before, first, between, second, after] =
-                          aParts;
-                        Schedule all = before;
-                        all.push_back(first);
-                        all.insert(all.end(), between.begin(), between.end());
-                        all.push_back(second);
-                        all.insert(all.end(), after.begin(), after.end());
-                        return all;
-                      });
+  return TrafficAround(traffic, aFirst, aSecond);
 }
 
 rc::Gen<Schedule>
--- a/tests/Matrix/Schedule.h
+++ b/tests/Matrix/Schedule.h
@@ -7,6 +7,8 @@
 
 #include <rapidcheck.h>
 
+#include <tests/Matrix/ScheduleParts.h>
+
 namespace snipepost::matrix {
 
 /// Kinds of steps. Those from BackendRestart on are faults and planned changes.
@@ -49,16 +51,7 @@
 constexpr auto kFirstFault = static_cast<uint8_t>(Action::BackendRestart);
 constexpr auto kActions = static_cast<uint8_t>(Action::Count);
 
-/// One step; what the two numbers mean depends on the action.
-struct Step
-{
-  Action mAction = Action::Advance;
-  uint8_t mFirst = 0;
-  uint8_t mSecond = 0;
-
-  bool operator==(const Step&) const = default;
-};
-
+using Step = BasicStep<Action>;
 using Schedule = std::vector<Step>;
 
 std::ostream&
