--- /dev/null
+++ b/tools/scale-objects.py
@@ -0,0 +1,65 @@
+#!/usr/bin/env python3
+"""Writes the two-year size as files: announcements of instances that do not
+run, as keys and values that end with zero bytes, and a document.
+
+scale-objects.py FOLDER: FOLDER/announcements, FOLDER/document.json
+"""
+import json
+import pathlib
+import sys
+
+SERVICES, ENDPOINTS, ENTRIES, DOMAINS = 970, 3500, 510, 5
+# Every address is a loopback address, so that probes stay on this machine.
+FIRST_ENTRY, FIRST_AGENT, FIRST_SERVICE = "127.32", "127.48", "127.64"
+
+
+def address(prefix, number):
+    return f"{prefix}.{number // 250}.{number % 250 + 1}:4433"
+
+
+def record(role, where, number, service, slots):
+    domain = number % DOMAINS + 1
+    return json.dumps({
+        "role": role, "address": where, "domain": domain,
+        "region": 0 if domain <= 3 else 1, "service": service, "slots": slots,
+        "state": 1, "version": [1000 + number, 1]}, separators=(",", ":"))
+
+
+def announcements():
+    for number in range(ENTRIES - 1):
+        where = address(FIRST_ENTRY, number)
+        yield f"entries/{where}", record(0, where, number, 0, 0)
+    for number in range(ENDPOINTS):
+        where = address(FIRST_AGENT, number)
+        service = number % SERVICES + 1
+        yield (f"endpoints/{service}/{where}",
+               record(1, where, number, service, 4))
+
+
+def document():
+    services = [{
+        "id": number + 1, "name": f"service-{number + 1}",
+        "address": address(FIRST_SERVICE, number), "class": "interactive",
+        "slots": 4, "connections": 2700, "deadlineMs": 5000, "rampSeconds": 20,
+        "minEndpoints": 0, "admission": "automatic"}
+        for number in range(SERVICES)]
+    domains = [{
+        "id": number + 1, "name": f"domain-{number + 1}", "state": "in",
+        "region": "region-1" if number < 3 else "region-2"}
+        for number in range(DOMAINS)]
+    return {"deployment": "demo", "generation": 0, "submission": "",
+            "change": {"by": "", "at": "1970-01-01T00:00:00Z", "from": 0,
+                       "changes": []},
+            "services": services, "failureDomains": domains, "backends": [],
+            "plannedChanges": []}
+
+
+def main():
+    folder = pathlib.Path(sys.argv[1])
+    parts = [part for pair in announcements() for part in pair]
+    (folder / "announcements").write_text("\0".join(parts))
+    (folder / "document.json").write_text(json.dumps(document(), indent=1))
+
+
+if __name__ == "__main__":
+    main()
