snipepostctl: wait until an instance holds an accepted document

Cause: a document was reported as accepted once the store had it. Ruled out: sending the document to instances: they would need an authenticated write, and the operators' tool holds no key. Change: after the write snipepostctl asks the instances that answered before, one each 100 ms, until one holds the document or 9 s have passed; then it warns and exits with 1.

--- a/src/Ctl/Deployment.cpp
+++ b/src/Ctl/Deployment.cpp
@@ -17,6 +17,7 @@
 /// Reads per command before it gives up on the store.
 constexpr int kReads = 4;
 constexpr Duration kReadPause = std::chrono::milliseconds(200);
+constexpr Duration kInForcePause = std::chrono::milliseconds(100);
 
 std::string
 AfterLastSlash(const std::string& aKey)
@@ -165,20 +166,49 @@
     view.mStored = std::move(parsed.mValue);
   }
   for (const Address& control : Instances()) {
-    const auto told = mEnvironment.mAskInstance(control, "/v1/document");
-    InstanceView instance{ control, told.mReached, std::nullopt };
-    if (told.mBody) {
-      instance.mDocument = ParseDocument(*told.mBody).mValue;
-      // An answer that is no document says nothing about what it holds.
-      instance.mReached = instance.mDocument.has_value();
+    view.mInstances.push_back(Ask(control));
+  }
+  return view;
+}
+
+InstanceView
+Deployment::Ask(const Address& aControl)
+{
+  const auto told = mEnvironment.mAskInstance(aControl, "/v1/document");
+  InstanceView instance{ aControl, told.mReached, std::nullopt };
+  if (told.mBody) {
+    instance.mDocument = ParseDocument(*told.mBody).mValue;
+    // An answer that is no document says nothing about what it holds.
+    instance.mReached = instance.mDocument.has_value();
+  }
+  if (instance.mDocument &&
+      instance.mDocument->mDeployment != mOptions.mDeployment) {
+    return { aControl, false, std::nullopt };
+  }
+  return instance;
+}
+
+bool
+Deployment::AwaitInForce(const DocumentOrder& aOrder,
+                         const DeploymentView& aView)
+{
+  std::vector<Address> live;
+  for (const InstanceView& instance : aView.mInstances) {
+    if (instance.mReached) {
+      live.push_back(instance.mControl);
     }
-    if (instance.mDocument &&
-        instance.mDocument->mDeployment != mOptions.mDeployment) {
-      instance = { control, false, std::nullopt };
+  }
+  for (Duration waited{}; !live.empty() && waited <= kInForceTime;
+       waited += kInForcePause) {
+    // One instance a turn: each answer may be a document of 1 MB.
+    const Address control = live[waited / kInForcePause % live.size()];
+    const auto held = Ask(control).mDocument;
+    if (held && !IsNewer(aOrder, OrderOf(*held))) {
+      return true;
     }
-    view.mInstances.push_back(std::move(instance));
+    mEnvironment.mPause(kInForcePause);
   }
-  return view;
+  return false;
 }
 
 std::optional<std::vector<AnnouncedEndpoint>>
--- a/src/Ctl/Deployment.h
+++ b/src/Ctl/Deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
@@ -7,6 +8,7 @@
 
 #include <snipepost/Ctl/Environment.h>
 #include <snipepost/Document/Document.h>
+#include <snipepost/Document/Order.h>
 #include <snipepost/Document/Validate.h>
 
 #include "src/Ctl/Options.h"
@@ -40,6 +42,10 @@
   std::optional<Document> Highest() const;
 };
 
+/// How long a document may take until it is in force everywhere; see P10 in the
+/// design page.
+inline constexpr Duration kInForceTime = std::chrono::seconds(9);
+
 /// Reads the store and the instances of one deployment.
 class Deployment
 {
@@ -50,6 +56,10 @@
 
   DeploymentView View();
 
+  /// Asks the instances of aView until one of them holds a document of aOrder
+  /// or a newer one; false when none does after kInForceTime.
+  bool AwaitInForce(const DocumentOrder& aOrder, const DeploymentView& aView);
+
   /// Announced backend servers, or nothing when the store can't be read.
   /// Announcements that can't be parsed are not counted as endpoints.
   std::optional<std::vector<AnnouncedEndpoint>> Endpoints(
@@ -63,6 +73,7 @@
   template<typename Call>
   StoreAnswer Repeat(Call aCall);
   std::vector<Address> Instances();
+  InstanceView Ask(const Address& aControl);
 
   const Options& mOptions;
   Environment& mEnvironment;
--- a/src/Ctl/Session.cpp
+++ b/src/Ctl/Session.cpp
@@ -249,10 +249,15 @@
     return checked;
   }
   Report report = RunPlan(plan);
+  if (report.mCode == ExitCode::Ok && aView.AnyInstance()) {
+    ReportInForce(plan.mDocument, aView, report);
+  }
   for (const std::string& warning : UnannouncedRules(plan.mDocument)) {
     report.mText += "warning: " + warning + '\n';
   }
-  if (report.mCode == ExitCode::Ok && !mOptions.mFile.empty()) {
+  const bool written =
+    report.mCode == ExitCode::Ok || report.mCode == ExitCode::Different;
+  if (written && !mOptions.mFile.empty()) {
     if (auto failure = SaveFile(plan.mDocument)) {
       // The submission stands; only the local copy is out of date.
       report.mText += failure->mText;
@@ -261,6 +266,22 @@
   return report;
 }
 
+void
+Session::ReportInForce(const Document& aDocument,
+                       const DeploymentView& aView,
+                       Report& aReport)
+{
+  // Instances spread a document among themselves. Until one of them holds it,
+  // an outage of the store would keep it from coming into force.
+  const bool inForce = mDeployment->AwaitInForce(OrderOf(aDocument), aView);
+  aReport.mJson["inForce"] = inForce;
+  if (!inForce) {
+    aReport.mCode = ExitCode::Different;
+    aReport.mText += "warning: no instance holds it yet; repeat snipepostctl "
+                     "status until it is in force\n";
+  }
+}
+
 Report
 Session::RunPlan(const SubmissionPlan& aPlan)
 {
--- a/src/Ctl/Session.h
+++ b/src/Ctl/Session.h
@@ -52,6 +52,11 @@
   /// Why nothing may be written, or an empty string.
   std::string Obstacle(const DeploymentView& aView) const;
   Report RunPlan(const SubmissionPlan& aPlan);
+  /// Waits until an instance holds the document that was written and adds the
+  /// outcome to the report.
+  void ReportInForce(const Document& aDocument,
+                     const DeploymentView& aView,
+                     Report& aReport);
   Document NextGeneration(Document aEdited, const DeploymentView& aView);
 
   /// Validates with the announced endpoints when there is a store.
