Document: name the check of capacity by what it checks

Cause: Holding, CheckHolding and HoldingCheck said that a document holds, not that each service keeps its endpoints and slots. Change: CapacityCheck in file, class and function; two comments.

--- a/src/Document/Holding.cpp
+++ b/src/Document/CapacityCheck.cpp
@@ -1,4 +1,4 @@
-#include "src/Document/Holding.h"
+#include "src/Document/CapacityCheck.h"
 
 #include <algorithm>
 #include <limits>
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// What is usable of one service at one time.
+/// Usable endpoints and slots of one service at one time.
 struct Supply
 {
   uint64_t mEndpoints = 0;
@@ -21,13 +21,14 @@
   uint64_t mSlots = 0;
 };
 
-/// Follows a document through time and remembers which services are short.
-class HoldingCheck
+/// Applies the planned changes one by one and keeps the services that lack
+/// capacity, so that each shortage is reported at the change that causes it.
+class CapacityCheck
 {
 public:
-  HoldingCheck(const Document& aDocument,
-               const ValidationContext& aContext,
-               std::vector<DocumentError>& aErrors)
+  CapacityCheck(const Document& aDocument,
+                const ValidationContext& aContext,
+                std::vector<DocumentError>& aErrors)
     : mDocument(aDocument)
     , mContext(aContext)
     , mErrors(aErrors)
@@ -165,11 +166,11 @@
 } // namespace
 
 void
-CheckHolding(const Document& aDocument,
-             const ValidationContext& aContext,
-             std::vector<DocumentError>& aErrors)
+CheckCapacity(const Document& aDocument,
+              const ValidationContext& aContext,
+              std::vector<DocumentError>& aErrors)
 {
-  HoldingCheck(aDocument, aContext, aErrors).Run();
+  CapacityCheck(aDocument, aContext, aErrors).Run();
 }
 
 } // namespace snipepost
--- a/src/Document/Holding.h
+++ b/src/Document/CapacityCheck.h
@@ -9,8 +9,8 @@
 /// Reports each service that lacks endpoints or capacity now or after a
 /// planned change up to the horizon, at the change that causes it.
 void
-CheckHolding(const Document& aDocument,
-             const ValidationContext& aContext,
-             std::vector<DocumentError>& aErrors);
+CheckCapacity(const Document& aDocument,
+              const ValidationContext& aContext,
+              std::vector<DocumentError>& aErrors);
 
 } // namespace snipepost
--- a/src/Document/Validate.cpp
+++ b/src/Document/Validate.cpp
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "src/Document/Holding.h"
+#include "src/Document/CapacityCheck.h"
 
 namespace snipepost {
 
@@ -211,7 +211,7 @@
   CheckDomains(aDocument, errors);
   CheckBackends(aDocument, errors);
   CheckPlanned(aDocument, errors);
-  CheckHolding(aDocument, aContext, errors);
+  CheckCapacity(aDocument, aContext, errors);
   return errors;
 }
 
