Document: instances pass over fields of later versions

Cause: an instance rejected a document with an unknown field. Ruled out: a version number in the document: every new field would still split the fleet. Ignoring unknown fields everywhere: an older operators' tool would drop them when it writes the document again. Change: ParseDocument takes UnknownFields; the daemon ignores them and serves the text as it is, snipepostctl rejects them as before. Conclusion: P10_EntryJoinsWithAnotherVersion_UnknownFields and the Document and Ctl tests pass. Not run with two versions of the programs.

--- a/include/snipepost/Document/Codec.h
+++ b/include/snipepost/Document/Codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,11 +29,23 @@
   std::vector<DocumentError> mErrors;
 };
 
+/// What becomes of fields that this version does not know.
+enum class UnknownFields : uint8_t
+{
+  /// They are errors: a field may be misspelt, and writing the document again
+  /// would lose it.
+  Reject,
+  /// They are passed over, so that a later version's document comes into force
+  /// while instances are replaced one by one.
+  Ignore,
+};
+
 /// Parses JSON text. Reports every unknown, missing or repeated field, wrong
 /// type and value out of range in one run. After a syntax error only that
 /// error and what was found before it are known.
 Parsed<Document>
-ParseDocument(std::string_view aText);
+ParseDocument(std::string_view aText,
+              UnknownFields aUnknown = UnknownFields::Reject);
 
 /// Writes the document as JSON with one line per service, failure domain, rule
 /// and planned change.
--- a/src/Daemon/ControlPlane.cpp
+++ b/src/Daemon/ControlPlane.cpp
@@ -28,7 +28,7 @@
 {
   return
     [aDeployment](const std::string& aText) -> std::optional<DocumentVersion> {
-      const auto parsed = ParseDocument(aText);
+      const auto parsed = ParseDocument(aText, UnknownFields::Ignore);
       if (!parsed.mValue || parsed.mValue->mDeployment != aDeployment) {
         return std::nullopt;
       }
@@ -269,7 +269,8 @@
 void
 ControlPlane::Perform(const DocumentAdopted&)
 {
-  mDocument = ParseDocument(Board().mDocument.mText).mValue;
+  mDocument =
+    ParseDocument(Board().mDocument.mText, UnknownFields::Ignore).mValue;
   LogLine(LogChannel::Document,
           LogLevel::Info,
           "document adopted",
--- a/src/Document/Codec.cpp
+++ b/src/Document/Codec.cpp
@@ -17,9 +17,11 @@
 
 template<typename T>
 Parsed<T>
-ReadValue(const json::value& aValue, std::vector<DocumentError> aErrors)
+ReadValue(const json::value& aValue,
+          std::vector<DocumentError> aErrors,
+          UnknownFields aUnknown = UnknownFields::Reject)
 {
-  JsonReader reader;
+  JsonReader reader(aUnknown);
   T out;
   reader.Read(aValue, out);
   auto found = reader.TakeErrors();
@@ -32,7 +34,7 @@
 
 template<typename T>
 Parsed<T>
-ParseText(std::string_view aText)
+ParseText(std::string_view aText, UnknownFields aUnknown)
 {
   if (aText.size() > kMaxDocumentBytes) {
     return { std::nullopt,
@@ -52,7 +54,7 @@
     }
     return { std::nullopt, std::move(errors) };
   }
-  return ReadValue<T>(value, std::move(errors));
+  return ReadValue<T>(value, std::move(errors), aUnknown);
 }
 
 void
@@ -85,9 +87,9 @@
 } // namespace
 
 Parsed<Document>
-ParseDocument(std::string_view aText)
+ParseDocument(std::string_view aText, UnknownFields aUnknown)
 {
-  return ParseText<Document>(aText);
+  return ParseText<Document>(aText, aUnknown);
 }
 
 std::string
@@ -106,7 +108,7 @@
 Parsed<AuditEntry>
 ParseAuditEntry(std::string_view aText)
 {
-  return ParseText<AuditEntry>(aText);
+  return ParseText<AuditEntry>(aText, UnknownFields::Reject);
 }
 
 std::string
--- a/src/Document/JsonReader.h
+++ b/src/Document/JsonReader.h
@@ -10,6 +10,7 @@
 
 #include <boost/json/value.hpp>
 
+#include <snipepost/Document/Codec.h>
 #include <snipepost/Document/Document.h>
 
 #include "src/Document/Schema.h"
@@ -24,6 +25,11 @@
 class JsonReader
 {
 public:
+  explicit JsonReader(UnknownFields aUnknown)
+    : mUnknown(aUnknown)
+  {
+  }
+
   void Read(const boost::json::value& aValue, std::string& aOut);
   void Read(const boost::json::value& aValue, Address& aOut);
   void Read(const boost::json::value& aValue, WallTime& aOut);
@@ -98,7 +104,8 @@
       [&](const auto&... aFields) {
         (ReadField(object, aFields, aOut), ...);
         for (const auto& item : object) {
-          if (!((item.key() == aFields.mKey) || ...)) {
+          const bool known = ((item.key() == aFields.mKey) || ...);
+          if (!known && mUnknown == UnknownFields::Reject) {
             const Scope scope(*this, item.key());
             Report("unknown field");
           }
@@ -146,6 +153,7 @@
 
   uint64_t ReadNumber(const boost::json::value& aValue, uint64_t aMax);
 
+  UnknownFields mUnknown;
   std::string mPointer;
   std::vector<DocumentError> mErrors;
 };
--- a/tests/Document/CodecTest.cpp
+++ b/tests/Document/CodecTest.cpp
@@ -71,6 +71,24 @@
   BOOST_TEST(Has(ParseDocument(WriteDocument(document)).mErrors, "/change/by"));
 }
 
+// Guards against a document of a later version that older instances keep out
+// of force while they are replaced, and against an older operators' tool that
+// drops its fields.
+BOOST_AUTO_TEST_CASE(P10_EntryJoinsWithAnotherVersion_UnknownFields)
+{
+  const Document document = sample::Rekawica();
+  std::string text = WriteDocument(document);
+  text.insert(text.find("\"services\""), "\"later\": {\"x\": [1]}, ");
+  text.insert(text.find("{\"id\"") + 1, "\"later\": true, ");
+  const auto strict = ParseDocument(text);
+  BOOST_TEST(!strict.mValue);
+  BOOST_TEST(Has(strict.mErrors, "/later"));
+  BOOST_TEST(Has(strict.mErrors, "/services/0/later"));
+  const auto lenient = ParseDocument(text, UnknownFields::Ignore);
+  BOOST_REQUIRE(lenient.mValue);
+  BOOST_TEST((*lenient.mValue == document));
+}
+
 // Guards against a write that stopped half-way being taken for a document.
 BOOST_AUTO_TEST_CASE(RefusesEveryTruncation)
 {
