Process test: sessions that outlast the start of a shutdown

Cause: with sessions of 4 s the chosen agent could have, by chance, only sessions that ended before its shutdown began (about 1 run in 1,000, estimated). Change: sessions of 6 s; the checks stay.

--- a/tests/Process/AgentTerminated.sh
+++ b/tests/Process/AgentTerminated.sh
@@ -4,7 +4,9 @@
 source "$(dirname "$0")/Common.sh"
 deploy
 # Short flows, so that the new agent soon is a candidate for one.
-start_load 32 --flow-life 1.5 --sessions 2
+# 12 sessions of 6 s are open on 6 servers, so that the chosen one has some with
+# seconds left when its agent is asked to end.
+start_load 32 --flow-life 1.5 --sessions 2 --session-seconds 6
 sleep 4
 first_desk=$(server_in_session)
 began=$(now_ms)
