Admission: a bulk service uses all of its slots

Cause: an agent always keeps one slot from bulk, for submissions and queries. A service of class bulk has hardly any, so a quarter of its slots idled.

Ruled out: no slot kept from bulk anywhere, because long transfers would then hold every slot of an interactive service.

Change: AgentConfig::mBulkService, set by the daemon from the class of the service, lets bulk use the whole limit. BulkUsesAllSlotsButOne is as it was; BulkServiceUsesAllSlots covers the flag.

--- a/include/snipepost/Admission/Events.h
+++ b/include/snipepost/Admission/Events.h
@@ -181,6 +181,8 @@
   /// The first candidate accepts a flow while used slots + queue is below
   /// this; the current limit when absent.
   std::optional<uint32_t> mThreshold{};
+  /// The service carries bulk only, so no slot is kept from it.
+  bool mBulkService = false;
   bool mDraining = false;
   bool mDomainOut = false;
 
--- a/include/snipepost/Admission/Options.h
+++ b/include/snipepost/Admission/Options.h
@@ -108,7 +108,7 @@
   /// Queue places per slot.
   uint32_t mQueuePerSlot = 4;
   /// Slots that bulk requests leave to other classes; they may use at least
-  /// one.
+  /// one. Not kept by an agent of a bulk service.
   uint32_t mSlotsWithoutBulk = 1;
   /// Refuse a request whose estimated wait exceeds its remaining time. Without
   /// it, such a request waits in the queue until its deadline.
--- a/src/Admission/AgentCore.cpp
+++ b/src/Admission/AgentCore.cpp
@@ -258,7 +258,7 @@
 bool
 AgentCore::BulkAllowed(Instant aNow) const
 {
-  const uint32_t kept = mOptions.mSlotsWithoutBulk;
+  const uint32_t kept = mConfig.mBulkService ? 0 : mOptions.mSlotsWithoutBulk;
   return mBulkInFlight + kept < std::max(Limit(aNow), kept + 1);
 }
 
--- a/src/Daemon/AgentInstance.cpp
+++ b/src/Daemon/AgentInstance.cpp
@@ -326,6 +326,7 @@
                       BackendStanding::Admitted;
     mDefaultDeadline = service->second.mDeadline;
     mBulkService = service->second.mClass == ServiceClass::Bulk;
+    agent.mBulkService = mBulkService;
   }
   agent.mDomainOut = !config->IsIn(own.mDomain);
   Admission(ConfigChanged{ agent });
--- a/tests/Admission/AgentCoreTest.cpp
+++ b/tests/Admission/AgentCoreTest.cpp
@@ -137,6 +137,21 @@
   }
 }
 
+// Guards against a service of transfers whose last slot always idles, and
+// against a flag that outlives its configuration.
+BOOST_AUTO_TEST_CASE(BulkServiceUsesAllSlots)
+{
+  WarmAgent agent;
+  agent.mCore.OnConfig({ { .mBulkService = true } }, agent.mNow);
+  for (uint64_t id = 1; id <= 4; ++id) {
+    BOOST_TEST(Find<PassOn>(agent.Send(id, RequestClass::Bulk), id));
+  }
+  agent.mCore.OnConfig({ {} }, agent.mNow);
+  agent.Send(5, RequestClass::Bulk);
+  BOOST_TEST(!Find<PassOn>(agent.End(1, BackendOutcome::Answered), 5));
+  BOOST_TEST(Find<PassOn>(agent.End(2, BackendOutcome::Answered), 5));
+}
+
 // Guards against one slow response that keeps all later requests out: nothing
 // that ran could correct the estimate any more.
 BOOST_AUTO_TEST_CASE(SlowResponse_LaterRequestsStillRun)
--- a/tools/bench/PolicyModel.cpp
+++ b/tools/bench/PolicyModel.cpp
@@ -37,8 +37,7 @@
   for (size_t i = 0; i < kServers; ++i) {
     AgentOptions options = aOptions.mAgent;
     options.mAddress = AgentAddress(i);
-    mAgents.push_back(
-      { AgentCore(options, aOptions.mConfig, kKeys, Instant()) });
+    mAgents.push_back({ AgentCore(options, ConfigOf(i), kKeys, Instant()) });
     AgentCore& core = mAgents.back().mCore;
     core.OnLease({ kStart + 24h }, Instant());
     core.OnBackendState(
@@ -47,6 +46,14 @@
   }
 }
 
+AgentConfig
+PolicyModel::ConfigOf(size_t aServer) const
+{
+  AgentConfig config = mOptions.mConfig;
+  config.mBulkService = aServer >= kDeskServers;
+  return config;
+}
+
 void
 PolicyModel::StartCounting()
 {
@@ -101,7 +108,7 @@
     At(kStart + 4s, [this] {
       mEligible[0] = false;
       UpdateEntries();
-      AgentConfig config = mOptions.mConfig;
+      AgentConfig config = ConfigOf(0);
       config.mDraining = true;
       Configure(0, config);
     });
@@ -139,10 +146,10 @@
 {
   mOut[kLeavingDomain] = aOut;
   UpdateEntries();
-  AgentConfig config = mOptions.mConfig;
-  config.mDomainOut = aOut;
   for (size_t i = 0; i < kServers; ++i) {
     if (DomainOf(i) == kLeavingDomain) {
+      AgentConfig config = ConfigOf(i);
+      config.mDomainOut = aOut;
       Configure(i, config);
     }
   }
--- a/tools/bench/PolicyModelState.h
+++ b/tools/bench/PolicyModelState.h
@@ -83,6 +83,8 @@
   void PlanRestart(size_t aServer, Instant aTime);
   void ChangeDomain(bool aOut);
   void UpdateEntries();
+  /// The configuration that holds for a server while nothing is changed.
+  AgentConfig ConfigOf(size_t aServer) const;
   void Configure(size_t aServer, const AgentConfig& aConfig);
   void Sample();
   void ReportLoads();
