--- a/tests/Process/Common.sh
+++ b/tests/Process/Common.sh
@@ -88,9 +88,6 @@
   expect "exit code of the load tool" "$status" -eq 0
 }
 
-# now_ms is on the clock of the journals (monotonic milliseconds).
-now_ms() { awk '{ printf "%d", $1 * 1000 }' /proc/uptime; }
-
 # expect TEXT VALUE OPERATOR LIMIT
 expect() {
   local verdict=ok
@@ -174,14 +171,8 @@
     sort -n | tail -n 1 | cut -d ' ' -f 2
 }
 
-request() { curl -s -m 3 --http2-prior-knowledge "$@"; }
 fault() { request -d "$2" "http://$1/fault" >/dev/null; }
 
-# metric ADDRESS NAME
-metric() {
-  request "http://$1/metrics" | awk -v name="$2" '$1 == name { print $2 }'
-}
-
 instances() {
   local i
   for i in $(seq "$entries"); do entry_address "$i"; done
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -110,6 +110,44 @@
   ctl --file "$file" --no-instances submit
 }
 
+# start_today_size [FABRIC FLAG...] starts what each user runs today: entry
+# instances and 7 + 3 backend servers with agents in 3 failure domains. The
+# servers in $late are left out; they are started later. $backend_flags are
+# those of every backend server.
+start_today_size() {
+  local names=() i
+  start_platform
+  start_fabric "$@"
+  await_ready platform fabric
+  for i in $(seq "$entries"); do start_entry "$i"; names+=("entry$i"); done
+  for i in $(seq 10); do
+    [[ " ${late:-} " = *" $i "* ]] || start_server "$i"
+  done
+  await_ready "${names[@]}"
+  submit_document
+}
+
+# today_service_of NUMBER: servers 1 to 7 are of sizing-desk, 8 to 10 of
+# pattern-store.
+today_service_of() { if [ "$1" -le 7 ]; then echo 1; else echo 2; fi; }
+
+# start_server NUMBER starts a backend server of today's size and its agent.
+start_server() {
+  start_backend "$1" ${backend_flags:-}
+  start_agent "$1" "$(today_service_of "$1")"
+  names+=("backend$1" "agent$1")
+}
+
+# now_ms is on the clock of the journals (monotonic milliseconds).
+now_ms() { awk '{ printf "%d", $1 * 1000 }' /proc/uptime; }
+
+request() { curl -s -m 3 --http2-prior-knowledge "$@"; }
+
+# metric ADDRESS NAME
+metric() {
+  request "http://$1/metrics" | awk -v name="$2" '$1 == name { print $2 }'
+}
+
 # end NAME [SIGNAL] sends a signal (KILL) and waits until the process is gone.
 end() {
   local pid=${pid_of[$1]} kept=() other
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -13,16 +13,7 @@
 source tools/cluster.sh
 trap 'stop_all; rm -rf "$work"' EXIT
 
-start_platform
-start_fabric --delay-ms 3
-await_ready platform fabric
-names=()
-for i in $(seq "$entries"); do start_entry "$i"; names+=("entry$i"); done
-for i in $(seq 10); do start_backend "$i"; names+=("backend$i"); done
-for i in $(seq 7); do start_agent "$i" 1; names+=("agent$i"); done
-for i in 8 9 10; do start_agent "$i" 2; names+=("agent$i"); done
-await_ready "${names[@]}"
-submit_document
+start_today_size --delay-ms 3
 sleep 4
 
 "$bin/callers" --service "$service_1" --bulk-service "$service_2" \
