Admission: send bulk requests on when long ones hold the slots

A first candidate without a free bulk slot hands flows on. ConnectionLimit keeps when a flow was opened.

--- a/include/snipepost/Admission/AgentCore.h
+++ b/include/snipepost/Admission/AgentCore.h
@@ -93,6 +93,7 @@
   {
     RequestArrived mArrival{};
     Stage mStage = Stage::Queued;
+    Instant mArrived{};
     Instant mPassedOn{};
     uint32_t mAttempts = 0;
     /// An attempt ended in a way that leaves open whether it ran.
@@ -138,6 +139,9 @@
   void Begin(Instant aNow);
   Effects Finish(Instant aNow);
   void Expire(Instant aNow);
+  void SendBulkElsewhere(Instant aNow);
+  std::optional<Instant> PatienceEnd(const Request& aRequest) const;
+  std::optional<Instant> LastBulkPassedOn() const;
   void ExpireUnqueued(Requests::iterator aRequest, Instant aNow);
   void Dispatch(Instant aNow);
   void AdvanceDrain(Instant aNow);
--- a/include/snipepost/Admission/Events.h
+++ b/include/snipepost/Admission/Events.h
@@ -245,7 +245,9 @@
   TableFull,
   MalformedKey,
   RefusedByBackend,
-  FirstAttemptRejected
+  FirstAttemptRejected,
+  /// Long bulk requests hold the slots; another agent may have one free.
+  SlotsHeld
 };
 
 /// Reset the stream with H3_REQUEST_REJECTED: the request did not run.
--- a/include/snipepost/Admission/Hunting.h
+++ b/include/snipepost/Admission/Hunting.h
@@ -9,7 +9,8 @@
 {
   /// The agent may accept new flows at all.
   bool mAble = false;
-  /// Used slots + queue is under the threshold of the first candidate.
+  /// Used slots + queue is under the threshold of the first candidate, and a
+  /// bulk slot is free.
   bool mUnderThreshold = false;
 };
 
--- a/src/Admission/AgentCore.cpp
+++ b/src/Admission/AgentCore.cpp
@@ -42,7 +42,8 @@
   const uint32_t threshold = mConfig.mThreshold.value_or(Limit(aNow));
   return Hunt(aPacket,
               { .mAble = AcceptsFlows(aNow),
-                .mUnderThreshold = InFlight() + mQueue.Count() < threshold });
+                .mUnderThreshold = InFlight() + mQueue.Count() < threshold &&
+                                   BulkAllowed(aNow) });
 }
 
 void
@@ -57,6 +58,7 @@
 {
   Begin(aNow);
   Dispatch(aNow);
+  SendBulkElsewhere(aNow);
   CheckExit();
   return std::exchange(mEffects, {});
 }
@@ -82,6 +84,55 @@
   }
 }
 
+std::optional<Instant>
+AgentCore::LastBulkPassedOn() const
+{
+  std::optional<Instant> last;
+  for (const auto& [id, request] : mRequests) {
+    if (request.mStage == Stage::PassedOn &&
+        request.mArrival.mClass == RequestClass::Bulk &&
+        (!last || *last < request.mPassedOn)) {
+      last = request.mPassedOn;
+    }
+  }
+  return last;
+}
+
+std::optional<Instant>
+AgentCore::PatienceEnd(const Request& aRequest) const
+{
+  const RequestArrived& arrival = aRequest.mArrival;
+  if (aRequest.mStage != Stage::Queued || aRequest.mAttempts > 0 ||
+      arrival.mClass != RequestClass::Bulk || !arrival.mFlow) {
+    return std::nullopt;
+  }
+  const auto opened = mConnections.OpenedAt(*arrival.mFlow);
+  const auto last = LastBulkPassedOn();
+  if (!opened || !last || aRequest.mArrived - *opened < mOptions.mHuntingLife) {
+    return std::nullopt;
+  }
+  return std::max(aRequest.mArrived, *last) + mOptions.mBulkPatience;
+}
+
+void
+AgentCore::SendBulkElsewhere(Instant aNow)
+{
+  if (mQueue.Count() == 0 || BulkAllowed(aNow)) {
+    return;
+  }
+  std::vector<RequestId> leaving;
+  for (const auto& [id, request] : mRequests) {
+    const auto end = PatienceEnd(request);
+    if (end && *end <= aNow) {
+      leaving.push_back(id);
+    }
+  }
+  for (const RequestId id : leaving) {
+    mQueue.Remove(id);
+    FinishNotRun(mRequests.find(id), RejectReason::SlotsHeld);
+  }
+}
+
 void
 AgentCore::ExpireUnqueued(Requests::iterator aRequest, Instant aNow)
 {
@@ -307,6 +358,11 @@
     if (!request.mCancelled) {
       consider(request.mArrival.mDeadline);
     }
+    const auto patience = PatienceEnd(request);
+    // A past one waits for an event: other classes hold the slots.
+    if (patience && *patience > aNow) {
+      consider(*patience);
+    }
   }
   if (mQueue.Count() > 0) {
     consider(mRamp.NextStep(aNow));
--- a/src/Admission/AgentCoreEvents.cpp
+++ b/src/Admission/AgentCoreEvents.cpp
@@ -11,7 +11,7 @@
 AgentCore::OnFlowOpened(const FlowOpened& aEvent, Instant aNow)
 {
   Begin(aNow);
-  if (DomainIsOut() || !mConnections.Open(aEvent.mFlow)) {
+  if (DomainIsOut() || !mConnections.Open(aEvent.mFlow, aNow)) {
     mEffects.emplace_back(CloseFlow{ aEvent.mFlow });
   }
   return Finish(aNow);
--- a/src/Admission/AgentCoreRequests.cpp
+++ b/src/Admission/AgentCoreRequests.cpp
@@ -155,7 +155,7 @@
     mEffects.emplace_back(Reject{ aEvent.mRequest, *error });
     return;
   }
-  mRequests[aEvent.mRequest] = Request{ .mArrival = aEvent };
+  mRequests[aEvent.mRequest] = Request{ .mArrival = aEvent, .mArrived = aNow };
   Enqueue(aEvent);
 }
 
--- a/tests/Admission/AgentCoreTest.cpp
+++ b/tests/Admission/AgentCoreTest.cpp
@@ -95,6 +95,55 @@
   BOOST_TEST(Find<PassOn>(agent.End(1, BackendOutcome::Answered), 4));
 }
 
+// Guards against bulk requests that wait for seconds behind long ones while
+// another agent has slots free, and against agents that send one back and
+// forth when all are full.
+BOOST_AUTO_TEST_CASE(SlotsHeldByLongBulk_NextGoesElsewhereOnce)
+{
+  WarmAgent agent;
+  agent.mCore.OnFlowOpened({ FlowId(1) }, agent.mNow);
+  agent.mNow += 1s;
+  for (uint64_t id = 1; id <= 4; ++id) {
+    agent.Send(id, RequestClass::Bulk);
+  }
+  BOOST_TEST((agent.mCore.NextTick(agent.mNow) == agent.mNow + 250ms));
+  agent.mNow += 250ms;
+  BOOST_TEST(Find<Reject>(agent.mCore.OnTick({}, agent.mNow), 4));
+  agent.mCore.OnFlowClosed({ FlowId(1) }, agent.mNow);
+  agent.mCore.OnFlowOpened({ FlowId(1) }, agent.mNow);
+  agent.Send(5, RequestClass::Bulk);
+  agent.mNow += 2s;
+  BOOST_TEST(agent.mCore.OnTick({}, agent.mNow).empty());
+}
+
+// Guards against rejections where short bulk requests only follow each other.
+BOOST_AUTO_TEST_CASE(SlotsHeldByShortBulk_NextWaits)
+{
+  WarmAgent agent;
+  agent.mCore.OnFlowOpened({ FlowId(1) }, agent.mNow);
+  agent.mNow += 1s;
+  for (uint64_t id = 1; id <= 5; ++id) {
+    agent.Send(id, RequestClass::Bulk);
+  }
+  agent.mNow += 200ms;
+  BOOST_TEST(Find<PassOn>(agent.End(1, BackendOutcome::Answered), 4));
+  agent.mNow += 200ms;
+  BOOST_TEST(agent.mCore.OnTick({}, agent.mNow).empty());
+}
+
+// Guards against a flow that opens where its long requests have to wait,
+// although the second candidate may have a slot for them.
+BOOST_AUTO_TEST_CASE(BulkSlotsUsed_FlowGoesToTheSecondCandidate)
+{
+  WarmAgent agent;
+  for (uint64_t id = 1; id <= 3; ++id) {
+    agent.Send(id, RequestClass::Bulk);
+  }
+  const FirstPacket opening{ .mCandidates = 2, .mPresent = 2 };
+  BOOST_TEST((agent.mCore.OnFirstPacket(opening, agent.mNow) ==
+              HuntingDecision{ HuntingDecision::Action::HandOn, 1 }));
+}
+
 // Guards against one slow response that keeps all later requests out: nothing
 // that ran could correct the estimate any more.
 BOOST_AUTO_TEST_CASE(SlowResponse_LaterRequestsStillRun)
--- a/tests/Admission/LimitTest.cpp
+++ b/tests/Admission/LimitTest.cpp
@@ -94,12 +94,12 @@
 BOOST_AUTO_TEST_CASE(FlowsBeyondTheBoundAreNotOpened)
 {
   ConnectionLimit flows(2);
-  BOOST_TEST(flows.Open(FlowId(1)));
-  BOOST_TEST(flows.Open(FlowId(2)));
-  BOOST_TEST(flows.Open(FlowId(2)));
-  BOOST_TEST(!flows.Open(FlowId(3)));
+  BOOST_TEST(flows.Open(FlowId(1), kStart));
+  BOOST_TEST(flows.Open(FlowId(2), kStart));
+  BOOST_TEST(flows.Open(FlowId(2), kStart));
+  BOOST_TEST(!flows.Open(FlowId(3), kStart));
   flows.Close(FlowId(1));
-  BOOST_TEST(flows.Open(FlowId(3)));
+  BOOST_TEST(flows.Open(FlowId(3), kStart));
 }
 
 // P10 and section 7: an agent must keep serving while the store is out, but an
