bench: settled fleets and times of reactions

`bench fleet` gave no figures until the fleet of 200 was through all its phases, and nothing showed how soon the other entry instances know of a change, which must not get slower when control traffic is saved.

Adds fleet-small (10, 25, 50 entry instances), fleet-settled (traffic only, 100 and 200) and a table of the seconds until every entry instance knows that an agent was killed, is back, or changed its state while the store is down (20 trials each). Killed counts as known when the agent is suspected or dropped: a suspect whose lease has lapsed leaves the view.

--- a/tools/bench/FleetScenario.h
+++ b/tools/bench/FleetScenario.h
@@ -25,6 +25,8 @@
 constexpr size_t kFullAgents = 3500;
 constexpr std::array<size_t, 4> kSizes{ 10, 50, 200, kFullEntries };
 constexpr std::array<size_t, 5> kFleetSizes{ 10, 25, 50, 100, 200 };
+constexpr std::array<size_t, 3> kSmallFleetSizes{ 10, 25, 50 };
+constexpr std::array<size_t, 2> kSettledFleetSizes{ 100, 200 };
 constexpr std::array<size_t, 1> kLargeFleetSizes{ kFullEntries };
 // Time for the fleet to settle after a start, a cut or an outage, and length of
 // an outage. Shorter for large fleets, where a second takes seconds.
--- a/tools/bench/Main.cpp
+++ b/tools/bench/Main.cpp
@@ -17,11 +17,15 @@
   void (*mRun)(Report&);
 };
 
-constexpr std::array<Mode, 9> kModes{ {
+constexpr std::array<Mode, 11> kModes{ {
   { "routing", "decisions, table rebuilds, moved keys, memory", RunRouting },
   { "relay", "packets through the entry path and a bare relay", RunRelay },
   { "membership", "costs of one membership core", RunMembership },
   { "fleet", "membership cores in virtual time", RunFleet },
+  { "fleet-small", "the same up to 50 entry instances", RunSmallFleet },
+  { "fleet-settled",
+    "traffic only, 100 and 200 entry instances",
+    RunSettledFleet },
   { "fleet-large", "the same up to 510 entry instances", RunLargeFleet },
   { "policy", "first-packet policies under load (model)", RunPolicy },
   { "policy-sweep", "settings of agents under load (model)", RunPolicySweep },
--- a/tools/bench/MembershipBench.cpp
+++ b/tools/bench/MembershipBench.cpp
@@ -7,6 +7,7 @@
 #include <malloc.h>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <span>
 #include <string>
 
@@ -140,6 +141,67 @@
   aScenario.Run(aScenario.Settle(), [] { return false; });
 }
 
+/// Times until every entry instance knows that an agent was killed, that its
+/// next life answers, and, while the store is down, that its state changed.
+void
+MeasureReactions(Report& aReport, Scenario& aScenario)
+{
+  constexpr size_t kTrials = 20;
+  constexpr Duration kLimit = 60s;
+  // Spreads the faults over the phases of the intervals.
+  constexpr Duration kPause = 10s + 130ms;
+  Fleet& fleet = aScenario.mFleet;
+  const auto everyEntry =
+    [&](const std::function<bool(const Blackboard&)>& aKnows) {
+      return [&fleet, aKnows] {
+        return std::ranges::all_of(fleet.Cores(), [&](const auto& aCore) {
+          return !IsEntry(aCore.first) || aKnows(aCore.second->Board());
+        });
+      };
+    };
+  std::vector<double> killed;
+  std::vector<double> back;
+  std::vector<double> changed;
+  for (size_t trial = 0; trial < kTrials; ++trial) {
+    const size_t index = kFirstAgent + trial;
+    const Address agent = Fleet::At(index);
+    // A suspect whose lease has lapsed is dropped.
+    const auto isTrusted = [&](const Blackboard& aBoard) {
+      return aBoard.mMembers.contains(agent) &&
+             !aBoard.mSuspects.contains(agent);
+    };
+    const auto isGone = [&](const Blackboard& aBoard) {
+      return !isTrusted(aBoard);
+    };
+    const auto isDraining = [&](const Blackboard& aBoard) {
+      const auto member = aBoard.mMembers.find(agent);
+      return member != aBoard.mMembers.end() &&
+             member->second.mRecord.mState == InstanceState::Draining;
+    };
+    fleet.Run(kPause);
+    fleet.Kill(index);
+    killed.push_back(Seconds(fleet.RunUntil(kLimit, everyEntry(isGone))));
+    fleet.Start(index, InstanceRole::Agent, trial + 2);
+    back.push_back(Seconds(fleet.RunUntil(kLimit, everyEntry(isTrusted))));
+    fleet.Run(kPause);
+    fleet.mStore.mDown = true;
+    fleet.Core(index).SetState(InstanceState::Draining);
+    changed.push_back(Seconds(fleet.RunUntil(kLimit, everyEntry(isDraining))));
+    fleet.mStore.mDown = false;
+  }
+  const auto add = [&](const char* aName, const std::vector<double>& aTimes) {
+    aReport.AddRow({ static_cast<double>(aScenario.mEntries),
+                     aName,
+                     std::accumulate(aTimes.begin(), aTimes.end(), 0.0) /
+                       static_cast<double>(aTimes.size()),
+                     QuantilesOf(aTimes).mMedian,
+                     std::ranges::max(aTimes) });
+  };
+  add("agent killed: suspected", killed);
+  add("agent back: trusted", back);
+  add("agent draining, store down: known", changed);
+}
+
 InstanceRecord
 MakeRecord(size_t aIndex, bool aEntry)
 {
@@ -218,10 +280,18 @@
   Report mStore;
   Report mTraffic;
   Report mSpread;
+  Report mReactions;
+};
+
+/// What a run measures. Documents and outages take most of a large run's time.
+enum class Extent : uint8_t
+{
+  Settled,
+  Full,
 };
 
 void
-MeasureFleet(size_t aEntries, Tables& aTables)
+MeasureFleet(size_t aEntries, Extent aExtent, Tables& aTables)
 {
   Scenario scenario(aEntries);
   const auto never = [] { return false; };
@@ -247,7 +317,11 @@
   scenario.mMeter.mEncode = false;
   AddStore(aTables.mStore, scenario, "steady", "-", "-");
   AddTraffic(aTables.mTraffic, scenario, steady);
+  if (aExtent == Extent::Settled) {
+    return;
+  }
 
+  MeasureReactions(aTables.mReactions, scenario);
   for (const Spread& spread : kSpreads) {
     MeasureSpread(aTables.mSpread, scenario, spread);
   }
@@ -283,7 +357,9 @@
 namespace {
 
 void
-MeasureFleets(Report& aReport, std::span<const size_t> aSizes)
+MeasureFleets(Report& aReport,
+              std::span<const size_t> aSizes,
+              Extent aExtent = Extent::Full)
 {
   Tables tables;
   tables.mStore.StartTable("store, attempted calls",
@@ -310,12 +386,18 @@
                               "within 9 s",
                               "pulls/node",
                               "after the cut s" });
+  tables.mReactions.StartTable(
+    "seconds until every entry instance knows, 20 trials",
+    { "entries", "change", "mean", "median", "most" });
   for (size_t size : aSizes) {
-    MeasureFleet(size, tables);
+    MeasureFleet(size, aExtent, tables);
   }
   aReport.Append(std::move(tables.mStore));
   aReport.Append(std::move(tables.mTraffic));
-  aReport.Append(std::move(tables.mSpread));
+  if (aExtent == Extent::Full) {
+    aReport.Append(std::move(tables.mSpread));
+    aReport.Append(std::move(tables.mReactions));
+  }
 }
 
 } // namespace
@@ -326,6 +408,18 @@
   MeasureFleets(aReport, kFleetSizes);
 }
 
+void
+RunSmallFleet(Report& aReport)
+{
+  MeasureFleets(aReport, kSmallFleetSizes);
+}
+
+void
+RunSettledFleet(Report& aReport)
+{
+  MeasureFleets(aReport, kSettledFleetSizes, Extent::Settled);
+}
+
 void
 RunLargeFleet(Report& aReport)
 {
--- a/tools/bench/Modes.h
+++ b/tools/bench/Modes.h
@@ -20,7 +20,15 @@
 void
 RunFleet(Report& aReport);
 
-/// The same up to the two-year size; takes many minutes.
+/// The same up to 50 entry instances.
+void
+RunSmallFleet(Report& aReport);
+
+/// Traffic of settled fleets of 100 and 200 entry instances.
+void
+RunSettledFleet(Report& aReport);
+
+/// The same as RunFleet at the two-year size; takes many minutes.
 void
 RunLargeFleet(Report& aReport);
 
