Admission: a reused key is not answered for another request

Cause: the idempotency table told requests apart by their key only. A caller that used a key again with another path or body got the response to its first request, as if the second one had run.

Ruled out: rejecting the stream as not run, because callers send such a request again with the same key, and would never learn of the mistake.

Change: the record keeps an XXH3 hash of method, path and body. Another hash under the same key is answered 422 (IETF draft idempotency-key header), whatever the state of the record, and nothing runs. Relayed requests are hashed by the agent that keeps the record.

Conclusion: a response only goes to the request it belongs to (P5).

--- a/include/snipepost/Admission/Events.h
+++ b/include/snipepost/Admission/Events.h
@@ -99,6 +99,9 @@
   /// Value of the idempotency-key header field, empty when absent. Ignored for
   /// idempotent requests.
   std::string mKey{};
+  /// Hash of method, path and body. A key names one request: it is not
+  /// answered with the response to a request that has another hash.
+  uint64_t mDigest = 0;
   /// The caller has no use for an answer after this time.
   Instant mDeadline{};
 };
@@ -279,6 +282,13 @@
   UnknownReason mReason = UnknownReason::BackendBroken;
 };
 
+/// Answer 422: the key belongs to a request with another method, path or body
+/// (draft-ietf-httpapi-idempotency-key-header). Nothing ran.
+struct AnswerKeyReused
+{
+  RequestId mRequest{};
+};
+
 /// Answer with the stored response of the first request with the same key.
 struct AnswerStored
 {
@@ -322,6 +332,7 @@
 using Effect = std::variant<PassOn,
                             Reject,
                             AnswerUnknown,
+                            AnswerKeyReused,
                             AnswerStored,
                             Relay,
                             Cancel,
--- a/include/snipepost/Admission/IdempotencyTable.h
+++ b/include/snipepost/Admission/IdempotencyTable.h
@@ -36,6 +36,8 @@
     /// Duplicates that wait for the outcome.
     std::vector<RequestId> mWaiters;
     Instant mCreated{};
+    /// Hash of the first request with the key.
+    uint64_t mDigest = 0;
   };
 
   explicit IdempotencyTable(const IdempotencyOptions& aOptions)
@@ -48,7 +50,7 @@
 
   /// Adds a record in progress. Returns false when the table is full; the key
   /// must be absent.
-  bool Begin(const std::string& aKey, Instant aNow);
+  bool Begin(const std::string& aKey, Instant aNow, uint64_t aDigest = 0);
 
   /// Makes a duplicate wait. Returns false when too many wait already; the key
   /// must be in progress.
--- a/src/Admission/AgentCoreRequests.cpp
+++ b/src/Admission/AgentCoreRequests.cpp
@@ -31,6 +31,10 @@
     return false;
   }
   const RequestId id = aEvent.mRequest;
+  if (record->mDigest != aEvent.mDigest) {
+    mEffects.emplace_back(AnswerKeyReused{ id });
+    return true;
+  }
   switch (record->mState) {
     case IdempotencyTable::State::Absent:
       return false;
@@ -148,7 +152,7 @@
 {
   auto error = AdmissionError(aEvent, aNow);
   const bool recorded = !aEvent.mIdempotent && !aEvent.mKey.empty();
-  if (!error && recorded && !mTable.Begin(aEvent.mKey, aNow)) {
+  if (!error && recorded && !mTable.Begin(aEvent.mKey, aNow, aEvent.mDigest)) {
     error = RejectReason::TableFull;
   }
   if (error) {
--- a/src/Admission/IdempotencyTable.cpp
+++ b/src/Admission/IdempotencyTable.cpp
@@ -13,12 +13,12 @@
 }
 
 bool
-IdempotencyTable::Begin(const std::string& aKey, Instant aNow)
+IdempotencyTable::Begin(const std::string& aKey, Instant aNow, uint64_t aDigest)
 {
   if (mRecords.size() >= mOptions.mMaxEntries) {
     return false;
   }
-  mRecords[aKey] = Record{ State::InProgress, nullptr, {}, aNow };
+  mRecords[aKey] = Record{ State::InProgress, nullptr, {}, aNow, aDigest };
   mExpiries.push_back({ aNow + mOptions.mRecordLife, aKey, aNow });
   return true;
 }
--- a/src/Daemon/AgentInstance.cpp
+++ b/src/Daemon/AgentInstance.cpp
@@ -188,6 +188,7 @@
   arrived.mIdempotent = aRequest.mIdempotent;
   arrived.mKey =
     std::string(http2::FindHeader(aRequest.mHeaders, "idempotency-key"));
+  arrived.mDigest = DigestOf(aRequest);
   arrived.mDeadline = aRequest.mDeadline;
   arrived.mRequest = mPipeline.Add(std::move(aRequest), std::move(aSink));
   if (aHandle) {
--- a/src/Daemon/CallerRequests.cpp
+++ b/src/Daemon/CallerRequests.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include <xxhash.h>
+
 namespace snipepost {
 
 namespace {
@@ -117,6 +119,19 @@
   return bulk ? RequestClass::Bulk : RequestClass::Query;
 }
 
+uint64_t
+DigestOf(const CallerRequest& aRequest)
+{
+  // Each part seeds the next one, so that bytes can't move from one part to
+  // another unnoticed.
+  uint64_t digest = 0;
+  for (const std::string* part :
+       { &aRequest.mMethod, &aRequest.mPath, &aRequest.mBody }) {
+    digest = XXH3_64bits_withSeed(part->data(), part->size(), digest);
+  }
+  return digest;
+}
+
 std::array<uint8_t, 1 + kConnectionIdLength>
 ShortHeaderFor(const ConnectionIdBytes& aId)
 {
--- a/src/Daemon/CallerRequests.h
+++ b/src/Daemon/CallerRequests.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -42,6 +43,11 @@
 RequestClass
 ClassOf(const CallerRequest& aRequest, bool aBulkService);
 
+/// Hash of method, path and body, by which a request is told from another one
+/// with the same idempotency key.
+uint64_t
+DigestOf(const CallerRequest& aRequest);
+
 /// The smallest datagram with a short header that carries the ID.
 std::array<uint8_t, 1 + kConnectionIdLength>
 ShortHeaderFor(const ConnectionIdBytes& aId);
--- a/src/Daemon/RequestPipeline.cpp
+++ b/src/Daemon/RequestPipeline.cpp
@@ -252,6 +252,22 @@
   aActive.mSink.reset();
 }
 
+void
+RequestPipeline::Perform(const AnswerKeyReused& aEffect)
+{
+  Active* found = Find(aEffect.mRequest);
+  if (!found) {
+    return;
+  }
+  mCounters.mNotRun.Add();
+  CompleteResponse response;
+  response.mStatus = 422;
+  response.mHeaders = { { "content-type", "text/plain" } };
+  response.mBody = "idempotency key already used for another request\n";
+  SendComplete(*found, response);
+  EraseWhenDone(aEffect.mRequest);
+}
+
 void
 RequestPipeline::Perform(const AnswerStored& aEffect)
 {
--- a/src/Daemon/RequestPipeline.h
+++ b/src/Daemon/RequestPipeline.h
@@ -53,6 +53,7 @@
   void Perform(const PassOn& aEffect);
   void Perform(const Reject& aEffect);
   void Perform(const AnswerUnknown& aEffect);
+  void Perform(const AnswerKeyReused& aEffect);
   void Perform(const AnswerStored& aEffect);
   void Perform(const Relay& aEffect);
   void Perform(const Cancel& aEffect);
--- a/tests/Admission/AgentCoreTest.cpp
+++ b/tests/Admission/AgentCoreTest.cpp
@@ -188,6 +188,33 @@
     Find<AnswerStored>(agent.Send(3, RequestClass::Submission, key), 3));
 }
 
+// Guards against a caller that takes the response to its first order for the
+// response to another one, and against running that one.
+BOOST_AUTO_TEST_CASE(P5_P7_SameKeyOtherRequest_GetsNoStoredAnswer)
+{
+  WarmAgent agent;
+  const std::string key = agent.Key();
+  const auto send = [&](uint64_t aId, uint64_t aDigest) {
+    return agent.mCore.OnRequest({ .mRequest = RequestId(aId),
+                                   .mClass = RequestClass::Submission,
+                                   .mIdempotent = false,
+                                   .mKey = key,
+                                   .mDigest = aDigest,
+                                   .mDeadline = agent.mNow + 10s },
+                                 agent.mNow);
+  };
+  BOOST_TEST(Find<PassOn>(send(1, 7), 1));
+  BOOST_TEST(Find<AnswerKeyReused>(send(2, 8), 2));
+  BOOST_TEST(send(3, 7).empty());
+  const auto effects = agent.End(1, BackendOutcome::Answered);
+  BOOST_TEST(Find<AnswerStored>(effects, 3));
+  BOOST_TEST(!Find<AnswerStored>(effects, 2));
+  const auto later = send(4, 8);
+  BOOST_TEST(Find<AnswerKeyReused>(later, 4));
+  BOOST_TEST(later.size() == 1U);
+  BOOST_TEST(Find<AnswerStored>(send(5, 7), 5));
+}
+
 // Guards against a caller that loses its flow and with it the response.
 BOOST_AUTO_TEST_CASE(P7_FlowLost_RetryGetsTheAnswer)
 {
--- a/tests/Daemon/CallerRequestsTest.cpp
+++ b/tests/Daemon/CallerRequestsTest.cpp
@@ -50,6 +50,28 @@
   }
 }
 
+// Guards against an order that is taken for a repetition of another one, and
+// against a repetition that isn't recognized after a relay or with another
+// deadline.
+BOOST_AUTO_TEST_CASE(P5_SameKey_DigestTellsRequestsApart)
+{
+  const uint64_t digest = DigestOf(Make("POST"));
+  BOOST_TEST(DigestOf(Make("POST", { { "deadline-ms", "9" } })) == digest);
+  BOOST_TEST(DigestOf(Make("PUT")) != digest);
+  CallerRequest moved = Make("POST");
+  moved.mPath += 'b';
+  BOOST_TEST(DigestOf(moved) != digest);
+  moved.mBody = "ody";
+  BOOST_TEST(DigestOf(moved) != digest);
+  http2::ServerRequest relayed;
+  relayed.mHeaders = { { "snipepost-method", "POST" },
+                       { "snipepost-path", "/stock?id=1" } };
+  relayed.mBody = "body";
+  const auto received = FromRelay(relayed, kDefault, kNow);
+  BOOST_REQUIRE(received.has_value());
+  BOOST_TEST(DigestOf(*received) == digest);
+}
+
 BOOST_AUTO_TEST_CASE(LowUrgencyAndBulkServicesMakeBulk)
 {
   BOOST_TEST((ClassOf(Make("GET"), true) == RequestClass::Bulk));
