--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -140,7 +140,7 @@
   --seconds "$seconds" --seed "$seed" --callers 40 --submissions 40 \
   --queries 120 --bulk 4 --sessions 2 --session-seconds "$session_seconds" \
   --flow-life 5 --json "$work/load.json" \
-  --journals "$work"/backend[1-7].journal \
+  --journals "$work"/backend{1,2,3,4,5,6,7}.journal \
   --bulk-journals "$work"/backend{8,9,10}.journal
 "run_$scenario"
 wait "${pid_of[load]}" || echo "the load tool failed"
