Membership: keep the short exchange interval for some rounds

Cause: an instance that a change missed asks every 2 s only, and those that knew of it fell quiet as soon as they had passed it on.

Change: the interval doubles only after four exchanges without news.

--- a/src/Membership/ExchangeController.cpp
+++ b/src/Membership/ExchangeController.cpp
@@ -21,7 +21,10 @@
 /// The interval doubles with each exchange that had nothing new, at most this
 /// often: 500 ms become 2 s. At 500 ms a settled entry instance spent 4.4 KB/s
 /// of its 8 KB/s on exchanges.
-constexpr unsigned kMaxQuietSteps = 2;
+constexpr unsigned kMaxDoublings = 2;
+/// Exchanges without news before the first doubling. Those that a change has
+/// not reached yet are found by these.
+constexpr unsigned kQuietBefore = 4;
 /// Peers told at once of a change that ends a quiet time. Those that have not
 /// heard of it ask rarely: without these, a change took 2.6 s instead of 1.8 s
 /// to reach 50 entry instances.
@@ -198,9 +201,11 @@
   const Duration interval = aRandom.Jittered(
     aBoard.mOptions.mExchangeInterval * factor, kExchangeSpread);
   const bool quiet = !agent && !urgent && !HasNews(aBoard);
-  mQuietSteps = quiet ? std::min(mQuietSteps + 1, kMaxQuietSteps) : 0;
+  mQuietSteps =
+    quiet ? std::min(mQuietSteps + 1, kQuietBefore + kMaxDoublings) : 0;
+  const unsigned doublings = std::max(mQuietSteps, kQuietBefore) - kQuietBefore;
   mNextWithNews = aNow + interval;
-  mNextExchange = aNow + interval * (1 << mQuietSteps);
+  mNextExchange = aNow + interval * (1U << doublings);
   // An urgent exchange that finds every peer busy stays due: an agent's change
   // of state would otherwise wait for its next exchange, 5 s later.
   for (unsigned due = std::max(1U, aBoard.mUrgentExchanges); due > 0; --due) {
