Admission: plainer names for the time that bulk requests queue

Cause: names such as PatienceEnd needed explaining, and each tick looked for the last bulk request once for every queued one. Change: mBulkQueueTime, mNewFlowTime, BulkQueueDeadline, RejectDelayedBulk; the time of the last bulk request that was passed on is kept.

--- a/include/snipepost/Admission/AgentCore.h
+++ b/include/snipepost/Admission/AgentCore.h
@@ -139,9 +139,9 @@
   void Begin(Instant aNow);
   Effects Finish(Instant aNow);
   void Expire(Instant aNow);
-  void SendBulkElsewhere(Instant aNow);
-  std::optional<Instant> PatienceEnd(const Request& aRequest) const;
-  std::optional<Instant> LastBulkPassedOn() const;
+  /// Rejects bulk requests whose deadline in the queue has passed.
+  void RejectDelayedBulk(Instant aNow);
+  std::optional<Instant> BulkQueueDeadline(const Request& aRequest) const;
   void ExpireUnqueued(Requests::iterator aRequest, Instant aNow);
   void Dispatch(Instant aNow);
   void AdvanceDrain(Instant aNow);
@@ -179,6 +179,7 @@
   Effects mEffects;
   uint32_t mInFlight = 0;
   uint32_t mBulkInFlight = 0;
+  Instant mLastBulkPassedOn{};
   uint32_t mShedsInARow = 0;
   bool mShutdown = false;
   bool mExitSent = false;
--- a/include/snipepost/Admission/Options.h
+++ b/include/snipepost/Admission/Options.h
@@ -114,11 +114,11 @@
   /// that its caller goes to another agent. A new flow and the repeated request
   /// take about 50 ms on the slowest path of today, so a shorter wait is not
   /// worth the handshake.
-  Duration mBulkPatience = std::chrono::milliseconds(250);
+  Duration mBulkQueueTime = std::chrono::milliseconds(250);
   /// For this time after hunting chose the agent for a flow, its bulk requests
   /// are not sent elsewhere. A request that was rejected once is thus not
   /// rejected again while every agent is full.
-  Duration mHuntingLife = std::chrono::seconds(1);
+  Duration mNewFlowTime = std::chrono::seconds(1);
   /// Refuse a request whose estimated wait exceeds its remaining time. Without
   /// it, such a request waits in the queue until its deadline.
   bool mRefuseByEstimate = true;
--- a/src/Admission/AgentCore.cpp
+++ b/src/Admission/AgentCore.cpp
@@ -58,7 +58,7 @@
 {
   Begin(aNow);
   Dispatch(aNow);
-  SendBulkElsewhere(aNow);
+  RejectDelayedBulk(aNow);
   CheckExit();
   return std::exchange(mEffects, {});
 }
@@ -85,21 +85,7 @@
 }
 
 std::optional<Instant>
-AgentCore::LastBulkPassedOn() const
-{
-  std::optional<Instant> last;
-  for (const auto& [id, request] : mRequests) {
-    if (request.mStage == Stage::PassedOn &&
-        request.mArrival.mClass == RequestClass::Bulk &&
-        (!last || *last < request.mPassedOn)) {
-      last = request.mPassedOn;
-    }
-  }
-  return last;
-}
-
-std::optional<Instant>
-AgentCore::PatienceEnd(const Request& aRequest) const
+AgentCore::BulkQueueDeadline(const Request& aRequest) const
 {
   const RequestArrived& arrival = aRequest.mArrival;
   if (aRequest.mStage != Stage::Queued || aRequest.mAttempts > 0 ||
@@ -107,27 +93,27 @@
     return std::nullopt;
   }
   const auto opened = mConnections.OpenedAt(*arrival.mFlow);
-  const auto last = LastBulkPassedOn();
-  if (!opened || !last || aRequest.mArrived - *opened < mOptions.mHuntingLife) {
+  if (!opened || aRequest.mArrived - *opened < mOptions.mNewFlowTime) {
     return std::nullopt;
   }
-  return std::max(aRequest.mArrived, *last) + mOptions.mBulkPatience;
+  return std::max(aRequest.mArrived, mLastBulkPassedOn) +
+         mOptions.mBulkQueueTime;
 }
 
 void
-AgentCore::SendBulkElsewhere(Instant aNow)
+AgentCore::RejectDelayedBulk(Instant aNow)
 {
   if (mQueue.Count() == 0 || BulkAllowed(aNow)) {
     return;
   }
-  std::vector<RequestId> leaving;
+  std::vector<RequestId> delayed;
   for (const auto& [id, request] : mRequests) {
-    const auto end = PatienceEnd(request);
-    if (end && *end <= aNow) {
-      leaving.push_back(id);
+    const auto deadline = BulkQueueDeadline(request);
+    if (deadline && *deadline <= aNow) {
+      delayed.push_back(id);
     }
   }
-  for (const RequestId id : leaving) {
+  for (const RequestId id : delayed) {
     mQueue.Remove(id);
     FinishNotRun(mRequests.find(id), RejectReason::SlotsHeld);
   }
@@ -174,7 +160,10 @@
       mBudget.OnRequest();
     }
     ++mInFlight;
-    mBulkInFlight += next->mClass == RequestClass::Bulk ? 1 : 0;
+    if (next->mClass == RequestClass::Bulk) {
+      ++mBulkInFlight;
+      mLastBulkPassedOn = aNow;
+    }
     mEffects.emplace_back(PassOn{ next->mRequest, next->mDeadline });
   }
 }
@@ -366,10 +355,10 @@
     if (!request.mCancelled) {
       consider(request.mArrival.mDeadline);
     }
-    const auto patience = PatienceEnd(request);
+    const auto deadline = BulkQueueDeadline(request);
     // A past one waits for an event: other classes hold the slots.
-    if (patience && *patience > aNow) {
-      consider(*patience);
+    if (deadline && *deadline > aNow) {
+      consider(*deadline);
     }
   }
   if (mQueue.Count() > 0) {
