--- a/tests/Process/Common.sh
+++ b/tests/Process/Common.sh
@@ -167,6 +167,92 @@
     sort -n | tail -n 1 | cut -d ' ' -f 2
 }
 
+# young_sessions SERVER counts its open sessions that are at most 1.5 s old, so
+# that a session of 4 s goes on for a while.
+young_sessions() {
+  jq -s --argjson from $(($(now_ms) - 1500)) '[.[] |
+    select((.path // "") | startswith("/session"))] |
+    group_by([.boot, .job]) | map(select(length == 1 and
+      .[0].event == "started" and .[0].ms >= $from)) | length' \
+    "$work/backend$1.journal"
+}
+
+# await_young_session [SERVER...] sets `found` to a server of sizing-desk, other
+# than these, with a young session. At 1.5 sessions/s the chance that none of
+# the others gets one within 12 s is below e^-15 (3 in 10 million).
+await_young_session() {
+  local start i
+  start=$(now_ms)
+  found=
+  while [ -z "$found" ] && [ $(($(now_ms) - start)) -lt 12000 ]; do
+    for i in $(seq "$desk_servers"); do
+      [[ " $* " != *" $i "* ]] && [ "$(young_sessions "$i")" -gt 0 ] || continue
+      found=$i
+      return
+    done
+    sleep 0.1
+  done
+  expect "servers with a young session" 0 -gt 0
+  return 1
+}
+
+# expect_sessions_finish SERVER MS: sessions that were open there at a time
+# existed, and each came to its end. Called when the load has ended.
+expect_sessions_finish() {
+  local ends
+  ends=$(jq -s -c --argjson at "$2" '[.[] |
+    select((.path // "") | startswith("/session"))] | group_by([.boot, .job]) |
+    map(select(.[0].ms <= $at and .[-1].ms > $at) | .[-1].event)' \
+    "$work/backend$1.journal")
+  expect "sessions in progress at server $1" "$(jq length <<<"$ends")" -gt 0
+  expect "of these cut short" \
+    "$(jq 'map(select(. != "finished")) | length' <<<"$ends")" -eq 0
+}
+
+# No request ran at a server of the other service (P2).
+expect_own_service() {
+  local i kind
+  for i in $(servers); do
+    kind=$([ "$(service_of "$i")" = 1 ] && echo bulk || echo "submit|query|session")
+    expect "requests of the other service at server $i" \
+      "$(jq -s --arg kind "^/($kind)" '[.[] |
+        select((.path // "") | test($kind))] | length' \
+        "$work/backend$i.journal")" -eq 0
+  done
+}
+
+# start_cold_backend SERVER [FLAG...] starts one that is cold and says that it is
+# ready: agents open no flow at a server that says "starting".
+start_cold_backend() {
+  start_backend "$@"
+  await_ready "backend$1"
+  fault "$(backend_control "$1")" '{"lieHealth":"ok"}'
+}
+
+# expect_cold_starts SERVER FROM: it was given work while it was cold.
+expect_cold_starts() {
+  expect "starts at server $1 while it was cold" \
+    "$(jq -s --argjson from "$2" '[.[] | select(.event == "started" and
+      .ms >= $from and .warmth < 1)] | length' "$work/backend$1.journal")" \
+    -gt 0
+}
+
+# expect_no_overload: no server got more than it could bear.
+expect_no_overload() {
+  local i
+  for i in $(servers); do
+    expect "times that server $i was overloaded" "$(events "$i" overloaded)" \
+      -eq 0
+  done
+}
+
+# impair_links makes the fabric lose 2%, duplicate 2% and reorder 5% of the
+# datagrams, and delay each by 2 to 7 ms.
+impair_links() {
+  fault "$fabric_control" \
+    '{"loss":0.02,"duplicate":0.02,"reorder":0.05,"jitterMs":5}'
+}
+
 # server_with_most_starts FIRST LAST prints a server's number.
 server_with_most_starts() {
   local i
