--- a/src/Daemon/AgentInstance.cpp
+++ b/src/Daemon/AgentInstance.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Time in which a leaving agent's last packets and announcement go out.
-constexpr Duration kFarewell = 300ms;
+constexpr Duration kExitDelay = 300ms;
 
 AgentOptions
 CoreOptions(const Blackboard& aBoard)
@@ -293,7 +293,7 @@
   }
   mLeaving = true;
   mControl.SetState(InstanceState::Left);
-  auto timer = std::make_shared<asio::steady_timer>(mContext, kFarewell);
+  auto timer = std::make_shared<asio::steady_timer>(mContext, kExitDelay);
   timer->async_wait([this, timer](const asio::error_code&) {
     mEndpoint.CloseAll(Http3Error::NoError);
     Pump();
--- a/src/Membership/ExchangeController.cpp
+++ b/src/Membership/ExchangeController.cpp
@@ -44,7 +44,7 @@
 
 /// A message that carries the document's version only.
 ExchangeMessage
-Greeting(const Blackboard& aBoard)
+VersionMessage(const Blackboard& aBoard)
 {
   ExchangeMessage message;
   message.mFrom = aBoard.mOwn.mAddress;
@@ -65,7 +65,7 @@
 ExchangeMessage
 Compose(Blackboard& aBoard)
 {
-  ExchangeMessage message = Greeting(aBoard);
+  ExchangeMessage message = VersionMessage(aBoard);
   if (aBoard.mOwn.mRole == InstanceRole::Agent) {
     message.mRecords.push_back(aBoard.mOwn);
     return message;
@@ -152,7 +152,7 @@
   }
   if (ComesFromAgent(aMessage)) {
     Merge(aBoard, aMessage, aNow);
-    return Greeting(aBoard);
+    return VersionMessage(aBoard);
   }
   if (aMessage.mDigest != aBoard.mDigest) {
     aBoard.mPeerDiffers = true;
--- a/src/Membership/ViewController.cpp
+++ b/src/Membership/ViewController.cpp
@@ -76,7 +76,7 @@
   }
   if (aRecord.mAddress == aBoard.mOwn.mAddress &&
       aRecord.mVersion != aBoard.mOwn.mVersion) {
-    return false; // Only this instance speaks for itself.
+    return false; // Only this instance publishes its own record.
   }
   auto found = aBoard.mMembers.find(aRecord.mAddress);
   if (found != aBoard.mMembers.end()) {
