RequestQueue: plainer names for guaranteed shares

Change: BulkShareApplies, HasShare and MayRun in place of BulkEarns, Earns and MayGo. Conclusion: the Admission tests pass; nothing else changes.

--- a/include/snipepost/Admission/AgentCore.h
+++ b/include/snipepost/Admission/AgentCore.h
@@ -156,7 +156,7 @@
   uint32_t Limit(Instant aNow) const;
   uint32_t InFlight() const { return mInFlight; }
   bool BulkAllowed(Instant aNow) const;
-  bool BulkEarns(Instant aNow) const;
+  bool BulkShareApplies(Instant aNow) const;
   bool AcceptsFlows(Instant aNow) const;
   bool LeaseHolds(Instant aNow) const;
   bool DomainIsOut() const;
--- a/include/snipepost/Admission/RequestQueue.h
+++ b/include/snipepost/Admission/RequestQueue.h
@@ -67,8 +67,8 @@
 
   /// Takes the first entry; bulk entries only when aBulkAllowed. Bulk earns no
   /// credit while it isn't allowed, since it then holds its slots. Without
-  /// aBulkEarns bulk goes only when nothing more urgent waits.
-  std::optional<Entry> Pop(bool aBulkAllowed, bool aBulkEarns = true);
+  /// aBulkShareApplies bulk goes only when nothing more urgent waits.
+  std::optional<Entry> Pop(bool aBulkAllowed, bool aBulkShareApplies = true);
 
   /// Takes the time for which a request held its slot, whatever its outcome.
   void RecordSlotTime(RequestClass aClass, Duration aTime)
@@ -97,11 +97,11 @@
   Duration& CreditOf(RequestClass aClass);
   Duration CreditOf(RequestClass aClass) const;
   Entry Take(RequestClass aClass, Line::iterator aPlace);
-  bool MayGo(RequestClass aClass, bool aBulkAllowed) const;
-  static bool Earns(RequestClass aClass, bool aBulkEarns);
+  bool MayRun(RequestClass aClass, bool aBulkAllowed) const;
+  static bool HasShare(RequestClass aClass, bool aBulkShareApplies);
   std::optional<RequestClass> NextClass(bool aBulkAllowed,
-                                        bool aBulkEarns) const;
-  void Charge(RequestClass aTaken, bool aBulkAllowed, bool aBulkEarns);
+                                        bool aBulkShareApplies) const;
+  void Charge(RequestClass aTaken, bool aBulkAllowed, bool aBulkShareApplies);
   Duration SlotTime(RequestClass aClass) const;
   /// The least urgent class above its guaranteed places once aAdded has one
   /// more entry.
--- a/src/Admission/AgentCore.cpp
+++ b/src/Admission/AgentCore.cpp
@@ -149,7 +149,7 @@
     return;
   }
   while (InFlight() < Limit(aNow)) {
-    const auto next = mQueue.Pop(BulkAllowed(aNow), BulkEarns(aNow));
+    const auto next = mQueue.Pop(BulkAllowed(aNow), BulkShareApplies(aNow));
     if (!next) {
       return;
     }
@@ -303,7 +303,7 @@
 }
 
 bool
-AgentCore::BulkEarns(Instant aNow) const
+AgentCore::BulkShareApplies(Instant aNow) const
 {
   // A long transfer would hold the only slot of a cold or overloaded server
   // while submissions wait. The guarantee returns with the second slot.
--- a/src/Admission/RequestQueue.cpp
+++ b/src/Admission/RequestQueue.cpp
@@ -188,27 +188,28 @@
 }
 
 bool
-RequestQueue::MayGo(RequestClass aClass, bool aBulkAllowed) const
+RequestQueue::MayRun(RequestClass aClass, bool aBulkAllowed) const
 {
   return !LineOf(aClass).empty() &&
          (aClass != RequestClass::Bulk || aBulkAllowed);
 }
 
 bool
-RequestQueue::Earns(RequestClass aClass, bool aBulkEarns)
+RequestQueue::HasShare(RequestClass aClass, bool aBulkShareApplies)
 {
-  return ShareOf(aClass) > 0 && (aClass != RequestClass::Bulk || aBulkEarns);
+  return ShareOf(aClass) > 0 &&
+         (aClass != RequestClass::Bulk || aBulkShareApplies);
 }
 
 std::optional<RequestClass>
-RequestQueue::NextClass(bool aBulkAllowed, bool aBulkEarns) const
+RequestQueue::NextClass(bool aBulkAllowed, bool aBulkShareApplies) const
 {
   std::optional<RequestClass> urgent;
   for (const RequestClass each : kUrgentFirst) {
-    if (!MayGo(each, aBulkAllowed)) {
+    if (!MayRun(each, aBulkAllowed)) {
       continue;
     }
-    if (Earns(each, aBulkEarns) && CreditOf(each) >= SlotTime(each)) {
+    if (HasShare(each, aBulkShareApplies) && CreditOf(each) >= SlotTime(each)) {
       return each;
     }
     urgent = urgent.value_or(each);
@@ -217,11 +218,13 @@
 }
 
 void
-RequestQueue::Charge(RequestClass aTaken, bool aBulkAllowed, bool aBulkEarns)
+RequestQueue::Charge(RequestClass aTaken,
+                     bool aBulkAllowed,
+                     bool aBulkShareApplies)
 {
   const Duration time = SlotTime(aTaken);
   for (const RequestClass each : kUrgentFirst) {
-    if (MayGo(each, aBulkAllowed) && Earns(each, aBulkEarns)) {
+    if (MayRun(each, aBulkAllowed) && HasShare(each, aBulkShareApplies)) {
       CreditOf(each) += Scaled(time, ShareOf(each));
     }
   }
@@ -229,13 +232,13 @@
 }
 
 std::optional<RequestQueue::Entry>
-RequestQueue::Pop(bool aBulkAllowed, bool aBulkEarns)
+RequestQueue::Pop(bool aBulkAllowed, bool aBulkShareApplies)
 {
-  const auto next = NextClass(aBulkAllowed, aBulkEarns);
+  const auto next = NextClass(aBulkAllowed, aBulkShareApplies);
   if (!next) {
     return std::nullopt;
   }
-  Charge(*next, aBulkAllowed, aBulkEarns);
+  Charge(*next, aBulkAllowed, aBulkShareApplies);
   return Take(*next, LineOf(*next).begin());
 }
 
