--- a/tools/bench/Main.cpp
+++ b/tools/bench/Main.cpp
@@ -17,7 +17,7 @@
   void (*mRun)(Report&);
 };
 
-constexpr std::array<Mode, 11> kModes{ {
+constexpr std::array<Mode, 12> kModes{ {
   { "routing", "decisions, table rebuilds, moved keys, memory", RunRouting },
   { "relay", "packets through the entry path and a bare relay", RunRelay },
   { "membership", "costs of one membership core", RunMembership },
@@ -26,6 +26,9 @@
   { "fleet-settled",
     "traffic only, 100 and 200 entry instances",
     RunSettledFleet },
+  { "fleet-settled-large",
+    "the same for 510 entry instances",
+    RunSettledLargeFleet },
   { "fleet-large", "the same up to 510 entry instances", RunLargeFleet },
   { "policy", "first-packet policies under load (model)", RunPolicy },
   { "policy-sweep", "settings of agents under load (model)", RunPolicySweep },
--- a/tools/bench/MembershipBench.cpp
+++ b/tools/bench/MembershipBench.cpp
@@ -308,9 +308,11 @@
            "start of everything",
            Seconds(complete),
            Seconds(leases));
-  scenario.Run(scenario.Settle(), never);
+  const Duration settle =
+    aExtent == Extent::Settled ? kSettle : scenario.Settle();
+  scenario.Run(settle, never);
 
-  const Duration steady = scenario.Settle() / 2;
+  const Duration steady = settle / 2;
   scenario.mMeter.Clear();
   scenario.mMeter.mEncode = true;
   scenario.Run(steady, never);
@@ -420,6 +422,12 @@
   MeasureFleets(aReport, kSettledFleetSizes, Extent::Settled);
 }
 
+void
+RunSettledLargeFleet(Report& aReport)
+{
+  MeasureFleets(aReport, kLargeFleetSizes, Extent::Settled);
+}
+
 void
 RunLargeFleet(Report& aReport)
 {
--- a/tools/bench/Modes.h
+++ b/tools/bench/Modes.h
@@ -28,6 +28,10 @@
 void
 RunSettledFleet(Report& aReport);
 
+/// The same for 510 entry instances.
+void
+RunSettledLargeFleet(Report& aReport);
+
 /// The same as RunFleet at the two-year size; takes many minutes.
 void
 RunLargeFleet(Report& aReport);
