Routing: tell agents how many candidates the present table gave

Cause: an agent took the first two candidates of a packet as those of the present table. Ruled out: dropping previous candidates when one server is left: earlier packets of a first flight may have gone there. Change: the router counts them, and the unused flags byte of packets towards agents carries the number; 0 from an older entry instance means two, as before.

--- a/include/snipepost/Routing/EntryRouter.h
+++ b/include/snipepost/Routing/EntryRouter.h
@@ -39,6 +39,8 @@
   /// Service at the destination address; 0 when there is none.
   ServiceId mService;
   CandidateList mCandidates;
+  /// How many candidates at the head of the list the present table gave.
+  uint8_t mPresent = 0;
 
   bool IsForward() const { return mDrop == DropReason::None; }
 };
--- a/include/snipepost/Routing/PacketHeader.h
+++ b/include/snipepost/Routing/PacketHeader.h
@@ -36,7 +36,9 @@
   uint8_t mUsedSlots = 0;
   uint8_t mQueue = 0;
   AgentState mState = AgentState::Cold;
-  uint8_t mFlags = 0;
+  /// In packets towards agents, how many candidates at the head of the list the
+  /// sender's present table gave; 0 when the sender does not say.
+  uint8_t mPresent = 0;
 
   bool operator==(const LoadReport&) const = default;
 };
@@ -56,6 +58,11 @@
   bool operator==(const PacketHeader&) const = default;
 };
 
+/// Candidates of the header that come from the sender's present table. Older
+/// senders do not say; then they are the first two.
+uint8_t
+PresentCandidates(const PacketHeader& aHeader);
+
 /// Bytes of a header with no candidates, tag included.
 constexpr size_t kMinPacketHeaderSize = 37;
 
--- a/src/Daemon/AgentInstancePackets.cpp
+++ b/src/Daemon/AgentInstancePackets.cpp
@@ -116,7 +116,7 @@
     std::find(candidates.begin(), candidates.end(), own.mAddress);
   packet.mCandidates = static_cast<uint8_t>(candidates.size());
   packet.mOwnIndex = static_cast<uint8_t>(self - candidates.begin());
-  packet.mPresent = std::min<uint8_t>(2, packet.mCandidates);
+  packet.mPresent = PresentCandidates(header);
   packet.mHops = header.mHopCount;
   if (self == candidates.end()) {
     mCounters.mBadPackets.Add();
--- a/src/Routing/EntryRouter.cpp
+++ b/src/Routing/EntryRouter.cpp
@@ -45,6 +45,7 @@
              RouteDecision& aDecision)
 {
   AddCandidates(aSnapshot, *aService.mCurrent, aKey, aDecision.mCandidates);
+  aDecision.mPresent = static_cast<uint8_t>(aDecision.mCandidates.Size());
   if (aService.mPrevious && aGuards.mPreviousCandidates) {
     AddCandidates(aSnapshot, *aService.mPrevious, aKey, aDecision.mCandidates);
   }
@@ -67,6 +68,7 @@
   }
   aDecision.mByIssuedId = true;
   aDecision.mCandidates.Add(aRoute.mAgent);
+  aDecision.mPresent = 1;
   return DropReason::None;
 }
 
--- a/src/Routing/PacketHeader.cpp
+++ b/src/Routing/PacketHeader.cpp
@@ -62,7 +62,7 @@
   aHeader.mLoad.mQueue = aReader.U8();
   const uint8_t state = aReader.U8();
   aHeader.mLoad.mState = static_cast<AgentState>(state);
-  aHeader.mLoad.mFlags = aReader.U8();
+  aHeader.mLoad.mPresent = aReader.U8();
   const uint8_t count = aReader.U8();
   if (state > static_cast<uint8_t>(AgentState::Out) ||
       count > CandidateList::kCapacity) {
@@ -78,6 +78,15 @@
 
 } // namespace
 
+uint8_t
+PresentCandidates(const PacketHeader& aHeader)
+{
+  constexpr uint8_t kPerTable = 2;
+  const uint8_t stated = aHeader.mLoad.mPresent;
+  const auto count = static_cast<uint8_t>(aHeader.mCandidates.Size());
+  return std::min(count, stated == 0 ? kPerTable : stated);
+}
+
 size_t
 EncodePacket(const PacketHeader& aHeader,
              std::span<const uint8_t> aPayload,
@@ -99,7 +108,7 @@
   writer.U8(aHeader.mLoad.mUsedSlots);
   writer.U8(aHeader.mLoad.mQueue);
   writer.U8(static_cast<uint8_t>(aHeader.mLoad.mState));
-  writer.U8(aHeader.mLoad.mFlags);
+  writer.U8(aHeader.mLoad.mPresent);
   writer.U8(static_cast<uint8_t>(aHeader.mCandidates.Size()));
   for (const Address& candidate : aHeader.mCandidates.View()) {
     WriteAddress(writer, candidate);
--- a/tests/Routing/EntryRouterTest.cpp
+++ b/tests/Routing/EntryRouterTest.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 
 #include <snipepost/Base/Random.h>
+#include <snipepost/Routing/PacketHeader.h>
 
 #include "tests/Routing/AllocationCount.h"
 #include "tests/Routing/Support.h"
@@ -174,6 +175,27 @@
     100);
 }
 
+// Guards against a busy agent that hands first packets on to an agent which the
+// present table no longer holds: the last one of a service sent them to its
+// dead neighbour.
+BOOST_AUTO_TEST_CASE(P1_AgentDies_TheLastOneIsTheOnlyPresentCandidate)
+{
+  EntryRouter router(Keys());
+  const auto before = Build(MakeBackends(2));
+  const auto after = Build(MakeBackends(1), {}, before.get());
+  for (uint64_t flow = 0; flow < kRouteCount; ++flow) {
+    const auto decision =
+      router.Route(*after, kService, kCaller, Initial(flow));
+    BOOST_REQUIRE(decision.mCandidates.Size() == 2U);
+    BOOST_REQUIRE(decision.mPresent == 1U);
+    PacketHeader header;
+    header.mCandidates = decision.mCandidates;
+    BOOST_REQUIRE(PresentCandidates(header) == 2U);
+    header.mLoad.mPresent = decision.mPresent;
+    BOOST_REQUIRE(PresentCandidates(header) == 1U);
+  }
+}
+
 // Guards against entry instances that scatter the datagrams of a first flight.
 BOOST_AUTO_TEST_CASE(EqualSnapshotsAgreeOnEveryFirstFlight)
 {
