--- a/cmake/Snipepost.cmake
+++ b/cmake/Snipepost.cmake
@@ -1,12 +1,23 @@
 # Build helpers: one function for a subsystem's library, one for its tests.
-find_package(Boost 1.81 REQUIRED COMPONENTS program_options log json
-                                            unit_test_framework)
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
-foreach(name libnghttp2 libnghttp3 libngtcp2 gnutls libsodium libxxhash)
+if(SNIPEPOST_FLOW_ONLY)
+  # Each shared library costs memory and start-up time on the small instances.
+  set(Boost_USE_STATIC_LIBS ON)
+  find_package(Boost 1.81 REQUIRED COMPONENTS program_options json)
+  set(libraries libxxhash)
+else()
+  find_package(Boost 1.81 REQUIRED COMPONENTS program_options log json
+                                              unit_test_framework)
+  set(libraries libnghttp2 libnghttp3 libngtcp2 gnutls libsodium libxxhash)
+  find_library(ngtcp2_gnutls ngtcp2_crypto_gnutls REQUIRED)
+endif()
+foreach(name ${libraries})
   pkg_check_modules(${name} REQUIRED IMPORTED_TARGET ${name})
 endforeach()
-find_library(ngtcp2_gnutls ngtcp2_crypto_gnutls REQUIRED)
+find_library(http_parser_library
+             NAMES ${CMAKE_STATIC_LIBRARY_PREFIX}http_parser.a http_parser
+             REQUIRED)
 
 add_library(snipepost_options INTERFACE)
 target_include_directories(snipepost_options
@@ -14,7 +25,8 @@
                                      ${CMAKE_SOURCE_DIR})
 target_compile_definitions(
   snipepost_options
-  INTERFACE BOOST_LOG_DYN_LINK ASIO_STANDALONE ASIO_NO_DEPRECATED
+  INTERFACE $<$<NOT:$<BOOL:${SNIPEPOST_FLOW_ONLY}>>:BOOST_LOG_DYN_LINK>
+            ASIO_STANDALONE ASIO_NO_DEPRECATED
             BOOST_BIND_GLOBAL_PLACEHOLDERS)
 target_compile_options(snipepost_options INTERFACE -Wall -Wextra -Wpedantic
                                                    -Werror)
--- /dev/null
+++ b/include/snipepost/Http1/Client.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include <asio.hpp>
+
+#include <snipepost/Base/Address.h>
+#include <snipepost/Base/Types.h>
+#include <snipepost/Http1/Message.h>
+
+namespace snipepost::http1 {
+
+/// How a call ended.
+enum class Result
+{
+  Ok,
+  /// No connection came about: the request was not sent.
+  NotConnected,
+  /// No whole response came in time; the request may have been processed.
+  TimedOut,
+  /// The connection broke or the response was malformed; the request may have
+  /// been processed.
+  Broken,
+};
+
+std::string_view
+ToString(Result aResult);
+
+/// Called once for each call; the response is set when the result is Ok.
+using ResponseHandler = std::function<void(Result, const Response&)>;
+
+/// An HTTP/1.1 client with one connection, which is kept between calls and
+/// replaced after any failure: a connection may have gone silent for good.
+/// Calls made while one waits are queued. Nothing is ever repeated.
+/// Destroying the client drops the calls without calling their handlers.
+class Client
+{
+public:
+  Client(asio::io_context& aContext, const Address& aServer);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  /// Sends aRequest; aTimeout covers the connection and the response.
+  void Call(Request aRequest, Duration aTimeout, ResponseHandler aDone);
+
+  /// Closes the connection and drops all calls without calling handlers.
+  void Reset();
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace snipepost::http1
--- /dev/null
+++ b/include/snipepost/Http1/Server.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <asio.hpp>
+
+#include <snipepost/Base/Address.h>
+#include <snipepost/Http1/Message.h>
+
+namespace snipepost::http1 {
+
+using RequestHandler = std::function<Response(const Request&)>;
+
+/// An HTTP/1.1 server for short requests that are answered at once. Requests
+/// above 64 KiB, malformed ones and connections above the limit are closed.
+class Server
+{
+public:
+  /// Listens on aLocal; throws std::system_error when it can't be bound.
+  Server(asio::io_context& aContext,
+         const Address& aLocal,
+         RequestHandler aHandler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  Address Local() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace snipepost::http1
--- a/include/snipepost/Settings/Schema.h
+++ b/include/snipepost/Settings/Schema.h
@@ -18,6 +18,7 @@
 enum class SettingSource
 {
   Default,
+  File,
   Environment,
   Flag,
 };
@@ -99,16 +100,23 @@
 std::string
 CheckText(const SettingsReport& aReport);
 
-/// Layers default, environment and flags. aAssign is called once a setting
-/// with its index in aSpecs and the winning text and returns an error or an
-/// empty text. Unknown flags
-/// and words that belong to no flag are errors.
+/// Layers default, file, environment and flags. aAssign is called once a
+/// setting with its index in aSpecs and the winning text and returns an error
+/// or an empty text. Unknown flags and words that belong to no flag are errors.
+/// aFileText has lines of the form "name = value"; names that are not in aSpecs
+/// are skipped, so that a newer file does not stop an older program.
 SettingsReport
 LoadLayers(
   const std::vector<SettingSpec>& aSpecs,
   const std::vector<std::string>& aArguments,
   const Environment& aEnvironment,
-  const std::function<std::string(size_t, const std::string&)>& aAssign);
+  const std::function<std::string(size_t, const std::string&)>& aAssign,
+  const std::string& aFileText = {});
+
+/// The value of --settings-file on a command line; empty when it is not there.
+/// The file is read before the other layers are applied.
+std::string
+SettingsFilePath(const std::vector<std::string>& aArguments);
 
 /// A table of settings that fills in a struct through member pointers.
 template<typename Struct>
@@ -144,14 +152,17 @@
   /// Fills in aOut; see LoadLayers.
   SettingsReport Load(const std::vector<std::string>& aArguments,
                       const Environment& aEnvironment,
-                      Struct& aOut) const
+                      Struct& aOut,
+                      const std::string& aFileText = {}) const
   {
-    return LoadLayers(mSpecs,
-                      aArguments,
-                      aEnvironment,
-                      [&](size_t aIndex, const std::string& aText) {
-                        return mAssign[aIndex](aOut, aText);
-                      });
+    return LoadLayers(
+      mSpecs,
+      aArguments,
+      aEnvironment,
+      [&](size_t aIndex, const std::string& aText) {
+        return mAssign[aIndex](aOut, aText);
+      },
+      aFileText);
   }
 
 private:
--- /dev/null
+++ b/src/Cluster/RecordPublisher.cpp
@@ -0,0 +1,125 @@
+#include <snipepost/Cluster/RecordPublisher.h>
+
+#include <utility>
+
+namespace snipepost::cluster {
+
+namespace {
+
+/// First and greatest bound of the wait after a failed write: the store
+/// answers in milliseconds, and an agent should be announced within a second
+/// of the end of an outage.
+constexpr Duration kFirstWait = std::chrono::milliseconds(50);
+constexpr Duration kLongestWait = std::chrono::seconds(1);
+
+/// The store keeps values, not texts: the order of fields may differ.
+std::optional<StoredRecord>
+Canonical(std::optional<StoredRecord> aStored)
+{
+  if (aStored) {
+    if (const auto record = DecodeRecord(aStored->mText)) {
+      aStored->mText = EncodeRecord(*record);
+    }
+  }
+  return aStored;
+}
+
+} // namespace
+
+std::string_view
+ToString(WriteOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case WriteOutcome::Done:
+      return "done";
+    case WriteOutcome::Conflict:
+      return "conflict";
+    case WriteOutcome::Refused:
+      return "refused";
+    case WriteOutcome::Unknown:
+      return "unknown";
+  }
+  return "invalid";
+}
+
+RecordPublisher::RecordPublisher(std::string aName, uint64_t aRandomSeed)
+  : mName(std::move(aName))
+  , mRandom(aRandomSeed)
+  , mBackoff(kFirstWait, kLongestWait)
+{
+}
+
+void
+RecordPublisher::Want(std::optional<std::string> aText)
+{
+  mEverWanted = true;
+  mWanted = std::move(aText);
+}
+
+void
+RecordPublisher::Observe(Revision aRevision,
+                         std::optional<StoredRecord> aStored)
+{
+  // An own write is known before the replica shows it.
+  if (mKnown && aRevision < mKnownAt) {
+    return;
+  }
+  mKnown = true;
+  mKnownAt = aRevision;
+  mStored = Canonical(std::move(aStored));
+}
+
+bool
+RecordPublisher::Settled() const
+{
+  if (!mKnown || mInFlight) {
+    return false;
+  }
+  return mWanted ? mStored && mStored->mText == *mWanted : !mStored;
+}
+
+std::optional<RecordWrite>
+RecordPublisher::Next(Instant aNow)
+{
+  if (!mEverWanted || !mKnown || mInFlight || aNow < mNotBefore || Settled()) {
+    return std::nullopt;
+  }
+  RecordWrite write;
+  if (!mWanted) {
+    write.mAction = RecordWrite::Action::Remove;
+    write.mExpected = mStored->mRevision;
+  } else {
+    write.mText = *mWanted;
+    if (mStored) {
+      write.mAction = RecordWrite::Action::Replace;
+      write.mExpected = mStored->mRevision;
+    }
+  }
+  mInFlight = true;
+  return write;
+}
+
+void
+RecordPublisher::OnOutcome(WriteOutcome aOutcome,
+                           std::optional<StoredRecord> aStored,
+                           Instant aNow)
+{
+  mInFlight = false;
+  const bool known =
+    aOutcome == WriteOutcome::Done || aOutcome == WriteOutcome::Conflict;
+  if (!known) {
+    // A later conditional write or the replica shows what has happened.
+    mNotBefore = aNow + mBackoff.Next(mRandom);
+    return;
+  }
+  mBackoff.Reset();
+  mStored = Canonical(std::move(aStored));
+  if (mStored && mStored->mRevision > mKnownAt) {
+    mKnownAt = mStored->mRevision;
+  }
+  if (aOutcome == WriteOutcome::Conflict) {
+    mNotBefore = aNow + mBackoff.Next(mRandom);
+  }
+}
+
+} // namespace snipepost::cluster
--- /dev/null
+++ b/src/Cluster/Replica.cpp
@@ -0,0 +1,268 @@
+#include <snipepost/Cluster/Replica.h>
+
+#include <algorithm>
+#include <unordered_set>
+
+#include <boost/json.hpp>
+
+#include "src/Routing/Hash.h"
+
+namespace snipepost::cluster {
+
+namespace json = boost::json;
+
+namespace {
+
+std::optional<ObjectChange>
+DecodeObject(const json::value& aValue)
+{
+  const json::object* object = aValue.if_object();
+  if (!object) {
+    return std::nullopt;
+  }
+  const json::value* name = object->if_contains("name");
+  const json::value* revision = object->if_contains("revision");
+  const json::value* text = object->if_contains("text");
+  if (!name || !name->is_string() || !revision || !text ||
+      !text->is_string()) {
+    return std::nullopt;
+  }
+  json::error_code error;
+  const auto number = revision->to_number<uint64_t>(error);
+  if (error) {
+    return std::nullopt;
+  }
+  return ObjectChange{ std::string(name->get_string()),
+                       Revision(number),
+                       std::string(text->get_string()) };
+}
+
+} // namespace
+
+std::string_view
+ToString(Part aPart)
+{
+  switch (aPart) {
+    case Part::Routes:
+      return "routes";
+    case Part::Evacuations:
+      return "evacuations";
+    case Part::Backends:
+      return "backends";
+  }
+  return "invalid";
+}
+
+Replica::Replica(ConfigDecoder aDecoder)
+  : mDecoder(std::move(aDecoder))
+  , mRoutes(std::make_shared<RouteConfig>())
+{
+}
+
+bool
+Replica::ApplySnapshot(Part aPart, const Snapshot& aSnapshot)
+{
+  PartState& part = mParts[Index(aPart)];
+  if (part.mVersion.mKnown &&
+      aSnapshot.mRevision < part.mVersion.mRevision) {
+    return false;
+  }
+  std::unordered_set<std::string_view> present;
+  for (const ObjectChange& object : aSnapshot.mObjects) {
+    present.insert(object.mName);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [name, object] : part.mObjects) {
+    if (!present.contains(name)) {
+      gone.push_back(name);
+    }
+  }
+  part.mVersion.mKnown = true;
+  for (const std::string& name : gone) {
+    ApplyObject(aPart, { name, aSnapshot.mRevision, std::nullopt });
+  }
+  for (const ObjectChange& object : aSnapshot.mObjects) {
+    ApplyObject(aPart, object);
+  }
+  UpdateVersion(part, aSnapshot.mRevision);
+  return true;
+}
+
+void
+Replica::ApplyChanges(Part aPart,
+                      const std::vector<ObjectChange>& aChanges,
+                      Revision aRevision)
+{
+  for (const ObjectChange& change : aChanges) {
+    ApplyObject(aPart, change);
+  }
+  UpdateVersion(mParts[Index(aPart)], aRevision);
+}
+
+bool
+Replica::ApplyObject(Part aPart, const ObjectChange& aChange)
+{
+  PartState& part = mParts[Index(aPart)];
+  const auto held = part.mObjects.find(aChange.mName);
+  if (held != part.mObjects.end() &&
+      aChange.mRevision <= held->second.mRevision) {
+    return false;
+  }
+  if (!aChange.mText) {
+    if (held != part.mObjects.end()) {
+      RemoveObject(aPart, aChange.mName);
+    }
+    return true;
+  }
+  part.mObjects[aChange.mName] = { aChange.mRevision, *aChange.mText };
+  if (aPart == Part::Evacuations) {
+    Notify(aPart, "evacuated " + aChange.mName);
+    return true;
+  }
+  if (aPart == Part::Routes) {
+    return ApplyRoutes(*aChange.mText);
+  }
+  const auto record = DecodeRecord(*aChange.mText);
+  if (!record) {
+    ++mRejected;
+    mBackends.erase(aChange.mName);
+    Notify(aPart, "unreadable record " + aChange.mName);
+    return false;
+  }
+  mBackends[aChange.mName] = *record;
+  Notify(aPart, "record " + aChange.mName + ' ' + *aChange.mText);
+  return true;
+}
+
+bool
+Replica::ApplyRoutes(const std::string& aText)
+{
+  auto config = mDecoder(aText);
+  if (!config) {
+    ++mRejected;
+    Notify(Part::Routes, "unreadable configuration");
+    return false;
+  }
+  if (config->mVersion <= mRoutes->mVersion) {
+    return false;
+  }
+  mRoutes = std::make_shared<const RouteConfig>(std::move(*config));
+  Notify(Part::Routes,
+         "version " + std::to_string(mRoutes->mVersion.Value()) + " with " +
+           std::to_string(mRoutes->mRoutes.size()) + " routes");
+  return true;
+}
+
+void
+Replica::RemoveObject(Part aPart, const std::string& aName)
+{
+  mParts[Index(aPart)].mObjects.erase(aName);
+  if (aPart == Part::Backends) {
+    mBackends.erase(aName);
+  }
+  // The configuration in force stays when its object is missing.
+  Notify(aPart, "removed " + aName);
+}
+
+void
+Replica::UpdateVersion(PartState& aPart, Revision aRevision)
+{
+  aPart.mVersion.mRevision = std::max(aPart.mVersion.mRevision, aRevision);
+  uint64_t digest = 0;
+  for (const auto& [name, object] : aPart.mObjects) {
+    const std::span bytes(reinterpret_cast<const uint8_t*>(name.data()),
+                          name.size());
+    digest = HashBytes(bytes, digest ^ object.mRevision.Value());
+  }
+  aPart.mVersion.mDigest = static_cast<uint32_t>(digest);
+}
+
+void
+Replica::Notify(Part aPart, const std::string& aWhat)
+{
+  if (mObserver) {
+    mObserver(aPart, aWhat);
+  }
+}
+
+std::string
+Replica::EncodeSnapshot(Part aPart) const
+{
+  const PartState& part = mParts[Index(aPart)];
+  json::array objects;
+  for (const auto& [name, object] : part.mObjects) {
+    objects.push_back({ { "name", name },
+                        { "revision", object.mRevision.Value() },
+                        { "text", object.mText } });
+  }
+  const json::object snapshot = {
+    { "revision", part.mVersion.mRevision.Value() },
+    { "objects", std::move(objects) },
+  };
+  return json::serialize(snapshot);
+}
+
+std::optional<Snapshot>
+Replica::DecodeSnapshot(std::string_view aText)
+{
+  json::error_code error;
+  const json::value value = json::parse(aText, error);
+  if (error || !value.is_object()) {
+    return std::nullopt;
+  }
+  const json::value* revision = value.get_object().if_contains("revision");
+  const json::value* objects = value.get_object().if_contains("objects");
+  if (!revision || !objects || !objects->is_array()) {
+    return std::nullopt;
+  }
+  Snapshot snapshot;
+  snapshot.mRevision = Revision(revision->to_number<uint64_t>(error));
+  if (error) {
+    return std::nullopt;
+  }
+  for (const json::value& item : objects->get_array()) {
+    auto object = DecodeObject(item);
+    if (!object) {
+      return std::nullopt;
+    }
+    snapshot.mObjects.push_back(std::move(*object));
+  }
+  return snapshot;
+}
+
+bool
+Replica::Complete() const
+{
+  return std::ranges::all_of(kParts, [this](Part aPart) {
+    return Known(aPart);
+  }) && mRoutes->mVersion != ConfigVersion();
+}
+
+bool
+Replica::Evacuated(const std::string& aDomain) const
+{
+  return mParts[Index(Part::Evacuations)].mObjects.contains(aDomain);
+}
+
+std::vector<std::string>
+Replica::EvacuatedDomains() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, object] : mParts[Index(Part::Evacuations)].mObjects) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+std::optional<StoredRecord>
+Replica::Stored(Part aPart, const std::string& aName) const
+{
+  const auto& objects = mParts[Index(aPart)].mObjects;
+  const auto found = objects.find(aName);
+  if (found == objects.end()) {
+    return std::nullopt;
+  }
+  return StoredRecord{ found->second.mRevision, found->second.mText };
+}
+
+} // namespace snipepost::cluster
--- /dev/null
+++ b/src/Flow/AgentCore.cpp
@@ -0,0 +1,537 @@
+#include <snipepost/Flow/AgentCore.h>
+
+#include <algorithm>
+
+namespace snipepost::flow {
+
+namespace {
+
+/// A backend server answers an opening packet within 0.3 ms; the rest is for
+/// the processors of both.
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(12);
+/// Unanswered opening packets in a row that make a backend server silent, and
+/// the time between trials then.
+constexpr uint32_t kSilentAfter = 3;
+constexpr Duration kTrialInterval = std::chrono::milliseconds(100);
+/// Callers give up an opening after 1.4 s.
+constexpr Duration kOpeningLimit = std::chrono::milliseconds(1500);
+/// Longest retransmission interval of both ends, for packets after the end.
+constexpr Duration kClosedMemory = std::chrono::seconds(2);
+constexpr Duration kDeadMemory = std::chrono::seconds(5);
+/// A request that holds a slot for longer has been lost.
+constexpr Duration kBusyLimit = std::chrono::seconds(5);
+/// Service time assumed before the first answer.
+constexpr Duration kFirstServiceTime = std::chrono::milliseconds(25);
+constexpr size_t kMaxFlows = 8192;
+/// Flows assumed to fit when the configuration does not say.
+constexpr uint32_t kDefaultMaxFlows = 1000;
+/// Offer of a caller's first acknowledgement within the backend's sequence.
+constexpr uint32_t kChosenWindow = 1U << 20;
+
+FlowId
+FromCaller(const Packet& aPacket)
+{
+  return { aPacket.mSource, aPacket.mDestination };
+}
+
+FlowId
+FromBackend(const Packet& aPacket)
+{
+  return { aPacket.mDestination, aPacket.mSource };
+}
+
+} // namespace
+
+AgentCore::AgentCore(AgentOptions aOptions,
+                     const cluster::Replica& aReplica,
+                     AgentOutput& aOutput,
+                     DecisionSink& aDecisions,
+                     Instant aStart)
+  : mOptions(std::move(aOptions))
+  , mReplica(aReplica)
+  , mOutput(aOutput)
+  , mDecisions(aDecisions)
+  , mStart(aStart)
+  , mStatus(mOptions.mService)
+  , mServiceTime(kFirstServiceTime)
+{
+}
+
+void
+AgentCore::OnNodePacket(const Packet& aPacket,
+                        std::span<const uint8_t> aBytes,
+                        cluster::NodeIp aFrom,
+                        Instant aNow)
+{
+  if (aPacket.Opens()) {
+    OnOpening(aPacket, aBytes, aFrom, aNow);
+    return;
+  }
+  if (!PassesEvacuation(aNow)) {
+    return;
+  }
+  const FlowId id = FromCaller(aPacket);
+  const auto found = mFlows.find(id);
+  if (found == mFlows.end()) {
+    OnUnknownFlow(aPacket, aBytes, aFrom, aNow);
+    return;
+  }
+  AgentFlow& flow = found->second;
+  if (flow.mDead) {
+    mOutput.SendReset(aPacket);
+    Decide(Verdict::Ended, id, aFrom, Refusal::None, aNow - flow.mOpenedAt);
+    return;
+  }
+  if (!flow.mOpen && !flow.mTentative && !ChosenByCaller(flow, aPacket)) {
+    return; // The caller chose another agent's backend server.
+  }
+  flow.mLastSeen = aNow;
+  flow.mEntry = aFrom;
+  flow.mOpen = flow.mOpen || !flow.mTentative;
+  flow.mCallerFin = flow.mCallerFin || aPacket.mFin;
+  if (aPacket.mLength > 0 && !flow.mBusy) {
+    SetBusy(flow, true, aNow);
+  }
+  if (aPacket.mMark == TransitMark::Locate && !flow.mTentative) {
+    TellOwned(id, flow);
+  }
+  mOutput.SendToBackend(aBytes);
+  if (aPacket.mReset) {
+    Erase(found);
+  }
+}
+
+bool
+AgentCore::ChosenByCaller(const AgentFlow& aFlow, const Packet& aPacket) const
+{
+  const uint32_t distance =
+    aPacket.mAcknowledgement - aFlow.mBackendSequence - 1;
+  return aFlow.mAnswered && (!aPacket.mAck || distance < kChosenWindow);
+}
+
+void
+AgentCore::OnUnknownFlow(const Packet& aPacket,
+                         std::span<const uint8_t> aBytes,
+                         cluster::NodeIp aFrom,
+                         Instant aNow)
+{
+  const FlowId id = FromCaller(aPacket);
+  if (KnowsAllFlows(aNow)) {
+    if (aPacket.mMark != TransitMark::Locate) {
+      Decide(Verdict::NotOwned, id, aFrom, Refusal::None, {});
+      mOutput.SendToNode(aFrom, OwnerNotice{ id, false });
+    }
+    return;
+  }
+  if (mFlows.size() >= kMaxFlows) {
+    return;
+  }
+  // The flow may have opened before this agent started.
+  AgentFlow& flow = mFlows[id];
+  flow.mTentative = true;
+  flow.mEntry = aFrom;
+  flow.mOpenedAt = aNow;
+  flow.mLastSeen = aNow;
+  mOutput.SendToBackend(aBytes);
+}
+
+bool
+AgentCore::KnowsAllFlows(Instant aNow) const
+{
+  return mSawStart || aNow - mStart > mOptions.mFlowLimit;
+}
+
+bool
+AgentCore::PassesEvacuation(Instant aNow)
+{
+  if (!mReplica.Evacuated(mOptions.mDomain)) {
+    mEvacuatedSince.reset();
+    return true;
+  }
+  if (!mEvacuatedSince) {
+    mEvacuatedSince = aNow;
+  }
+  return aNow - *mEvacuatedSince < mOptions.mEvacuationGrace;
+}
+
+bool
+AgentCore::Silent(Instant aNow)
+{
+  if (mUnanswered < kSilentAfter) {
+    return false;
+  }
+  if (aNow < mNextTrial) {
+    return true;
+  }
+  mNextTrial = aNow + kTrialInterval;
+  return false;
+}
+
+Refusal
+AgentCore::Judge(const Packet& aPacket, Instant aNow)
+{
+  const auto routes = mReplica.Routes();
+  const auto route = routes->mRoutes.find(aPacket.mDestination);
+  const auto service = routes->mServices.find(mOptions.mService);
+  AdmissionInputs inputs;
+  inputs.mMark = aPacket.mMark;
+  inputs.mReady = mReplica.Complete() && mStatus.Known();
+  inputs.mServiceMatches = aPacket.mNote == ServiceTag(mOptions.mService);
+  inputs.mEvacuated = mReplica.Evacuated(mOptions.mDomain);
+  inputs.mDraining = mLeaving || mStatus.Draining();
+  inputs.mCold = mStatus.Cold(aNow);
+  inputs.mLoad = mLoad;
+  inputs.mSlots = mStatus.Slots();
+  inputs.mFlows = static_cast<uint32_t>(mFlows.size());
+  inputs.mMaxFlows = kDefaultMaxFlows;
+  inputs.mServiceTime = mServiceTime;
+  if (service != routes->mServices.end()) {
+    if (service->second.mMaxFlows > 0) {
+      inputs.mMaxFlows = service->second.mMaxFlows;
+    }
+    const double perSecond = service->second.mColdPerSecond;
+    inputs.mCold = inputs.mCold && perSecond > 0.0;
+    if (inputs.mCold) {
+      inputs.mColdBudget = mStatus.ColdBudget(perSecond, aNow);
+    }
+  }
+  if (route != routes->mRoutes.end()) {
+    inputs.mKind = route->second.mKind;
+    inputs.mObjective = route->second.mObjective;
+    inputs.mTimeout = route->second.mTimeout;
+  }
+  const Refusal refusal = Admit(inputs);
+  if (refusal == Refusal::None && Silent(aNow)) {
+    return Refusal::Silent;
+  }
+  return refusal;
+}
+
+void
+AgentCore::OnOpening(const Packet& aPacket,
+                     std::span<const uint8_t> aBytes,
+                     cluster::NodeIp aFrom,
+                     Instant aNow)
+{
+  const FlowId id = FromCaller(aPacket);
+  const auto found = mFlows.find(id);
+  if (found != mFlows.end()) {
+    const AgentFlow& flow = found->second;
+    if (flow.mCallerSequence == aPacket.mSequence && !flow.mDead &&
+        !flow.mTentative) {
+      // A copy: the backend server repeats its answer, which counts as one
+      // flow with the first.
+      found->second.mEntry = aFrom;
+      mOutput.SendToBackend(aBytes);
+      return;
+    }
+    Erase(found);
+  }
+  const Refusal refusal = Judge(aPacket, aNow);
+  if (refusal != Refusal::None) {
+    Reply(aFrom, id, aPacket.mSequence, 0, refusal, aNow);
+    Decide(Verdict::TurnedAway, id, aFrom, refusal, {});
+    return;
+  }
+  Take(aPacket, aBytes, aFrom, aNow);
+}
+
+void
+AgentCore::Take(const Packet& aPacket,
+                std::span<const uint8_t> aBytes,
+                cluster::NodeIp aFrom,
+                Instant aNow)
+{
+  const FlowId id = FromCaller(aPacket);
+  AgentFlow& flow = mFlows[id];
+  flow.mCallerSequence = aPacket.mSequence;
+  flow.mEntry = aFrom;
+  flow.mTold = aFrom;
+  flow.mOpenedAt = aNow;
+  flow.mLastSeen = aNow;
+  SetBusy(flow, true, aNow);
+  mStatus.OnTaken(aNow);
+  mPending.push_back({ aNow + kAnswerTimeout, id, aPacket.mSequence });
+  mOutput.SendToBackend(aBytes);
+}
+
+void
+AgentCore::Reply(cluster::NodeIp aTo,
+                 const FlowId& aId,
+                 uint32_t aCallerSequence,
+                 uint32_t aBackendSequence,
+                 Refusal aRefusal,
+                 Instant aNow)
+{
+  OfferReply reply;
+  reply.mFlow = aId;
+  reply.mCallerSequence = aCallerSequence;
+  reply.mRefusal = aRefusal;
+  reply.mBackendSequence = aBackendSequence;
+  reply.mLoad = static_cast<uint16_t>(std::min<uint32_t>(mLoad, UINT16_MAX));
+  reply.mSlots =
+    static_cast<uint16_t>(std::min<uint32_t>(mStatus.Slots(), UINT16_MAX));
+  reply.mCold = mStatus.Cold(aNow);
+  mOutput.SendToNode(aTo, reply);
+}
+
+void
+AgentCore::TellOwned(const FlowId& aId, AgentFlow& aFlow)
+{
+  aFlow.mTold = aFlow.mEntry;
+  mOutput.SendToNode(aFlow.mEntry, OwnerNotice{ aId, true });
+}
+
+void
+AgentCore::OnBackendPacket(const Packet& aPacket,
+                           std::span<const uint8_t> aBytes,
+                           Instant aNow)
+{
+  if (aPacket.mReturned) {
+    OnReturned(aPacket, aNow);
+    return;
+  }
+  mUnanswered = 0;
+  const FlowId id = FromBackend(aPacket);
+  auto found = mFlows.find(id);
+  if (found == mFlows.end() && mFlows.size() < kMaxFlows) {
+    // The flow opened before this agent started.
+    found = mFlows.try_emplace(id).first;
+    found->second.mOpenedAt = aNow;
+    found->second.mOpen = true;
+    found->second.mAnswered = true;
+  }
+  if (found != mFlows.end()) {
+    OnAnswer(id, found->second, aPacket, aNow);
+  }
+  mOutput.SendToCaller(aBytes, aPacket.mDestination);
+}
+
+void
+AgentCore::OnAnswer(const FlowId& aId,
+                    AgentFlow& aFlow,
+                    const Packet& aPacket,
+                    Instant aNow)
+{
+  aFlow.mLastSeen = aNow;
+  if (aPacket.Answers()) {
+    const bool repeated = aFlow.mAnswered;
+    aFlow.mAnswered = true;
+    aFlow.mBackendSequence = aPacket.mSequence;
+    Reply(aFlow.mEntry,
+          aId,
+          aFlow.mCallerSequence,
+          aPacket.mSequence,
+          Refusal::None,
+          aNow);
+    if (!repeated) {
+      Decide(Verdict::Opened,
+             aId,
+             aFlow.mEntry,
+             Refusal::None,
+             aNow - aFlow.mOpenedAt);
+    }
+    return;
+  }
+  if (aFlow.mTentative && !aPacket.mReset) {
+    aFlow.mTentative = false;
+    aFlow.mOpen = true;
+    aFlow.mAnswered = true;
+    TellOwned(aId, aFlow);
+  }
+  const bool answers =
+    aPacket.mLength > 0 || aPacket.mFin || aPacket.mReset;
+  if (answers && aFlow.mBusy) {
+    if (mLoad <= mStatus.Slots() && aFlow.mOpen) {
+      mServiceTime = (mServiceTime * 15 + (aNow - aFlow.mBusySince)) / 16;
+    }
+    SetBusy(aFlow, false, aNow);
+  }
+  aFlow.mBackendFin = aFlow.mBackendFin || aPacket.mFin || aPacket.mReset;
+}
+
+void
+AgentCore::OnReturned(const Packet& aPacket, Instant aNow)
+{
+  const FlowId id = FromCaller(aPacket);
+  const auto found = mFlows.find(id);
+  if (found == mFlows.end()) {
+    return;
+  }
+  const AgentFlow flow = found->second;
+  if (aPacket.Opens()) {
+    Erase(found);
+    mUnanswered = 0;
+    Reply(flow.mEntry, id, aPacket.mSequence, 0, Refusal::Full, aNow);
+    Decide(Verdict::TurnedAway,
+           id,
+           flow.mEntry,
+           Refusal::Full,
+           aNow - flow.mOpenedAt,
+           "returned");
+    return;
+  }
+  if (flow.mTentative) {
+    Erase(found);
+    if (aPacket.mMark != TransitMark::Locate) {
+      mOutput.SendToNode(flow.mEntry, OwnerNotice{ id, false });
+    }
+    return;
+  }
+  // The backend server has restarted, or has forgotten an idle flow. A reset
+  // is sent only once a heartbeat shows that it restarted.
+  SetBusy(found->second, false, aNow);
+  Decide(Verdict::NotOwned,
+         id,
+         flow.mEntry,
+         Refusal::None,
+         aNow - flow.mOpenedAt,
+         "returned");
+}
+
+HeartbeatOutcome
+AgentCore::OnHeartbeat(const Heartbeat& aHeartbeat, Instant aNow)
+{
+  const bool first = !mStatus.Known();
+  const HeartbeatOutcome outcome = mStatus.OnHeartbeat(aHeartbeat, aNow);
+  if (outcome == HeartbeatOutcome::Restarted) {
+    EndFlows();
+    mSawStart = true;
+    mUnanswered = 0;
+  } else if (first && outcome == HeartbeatOutcome::Changed) {
+    // The first heartbeat of an incarnation: no flow is older than the agent.
+    mSawStart = aHeartbeat.mSequence <= 1 && mFlows.empty();
+  }
+  return outcome;
+}
+
+void
+AgentCore::EndFlows()
+{
+  for (auto& [id, flow] : mFlows) {
+    flow.mDead = true;
+    flow.mBusy = false;
+  }
+  mLoad = 0;
+  mPending.clear();
+}
+
+bool
+AgentCore::OnDeregister(const std::string& aId)
+{
+  return mStatus.OnDeregister(aId);
+}
+
+std::optional<Instant>
+AgentCore::NextDeadline() const
+{
+  if (mPending.empty()) {
+    return std::nullopt;
+  }
+  return mPending.front().mDeadline;
+}
+
+void
+AgentCore::OnTimer(Instant aNow)
+{
+  while (!mPending.empty() && mPending.front().mDeadline <= aNow) {
+    const PendingAnswer pending = mPending.front();
+    mPending.pop_front();
+    const auto found = mFlows.find(pending.mFlow);
+    if (found == mFlows.end() || found->second.mAnswered ||
+        found->second.mCallerSequence != pending.mCallerSequence) {
+      continue;
+    }
+    ++mUnanswered;
+    const AgentFlow& flow = found->second;
+    Reply(flow.mEntry,
+          pending.mFlow,
+          pending.mCallerSequence,
+          0,
+          Refusal::Silent,
+          aNow);
+    Decide(Verdict::TurnedAway,
+           pending.mFlow,
+           flow.mEntry,
+           Refusal::Silent,
+           aNow - flow.mOpenedAt,
+           "no-answer");
+    SetBusy(found->second, false, aNow);
+  }
+}
+
+void
+AgentCore::SetBusy(AgentFlow& aFlow, bool aBusy, Instant aNow)
+{
+  if (aFlow.mBusy == aBusy) {
+    return;
+  }
+  aFlow.mBusy = aBusy;
+  aFlow.mBusySince = aNow;
+  mLoad = aBusy ? mLoad + 1 : mLoad - 1;
+}
+
+void
+AgentCore::Erase(Flows::iterator aFlow)
+{
+  SetBusy(aFlow->second, false, aFlow->second.mLastSeen);
+  mFlows.erase(aFlow);
+}
+
+void
+AgentCore::Expire(Instant aNow)
+{
+  const Duration idle = mReplica.Routes()->mIdleTimeout;
+  for (auto at = mFlows.begin(); at != mFlows.end();) {
+    AgentFlow& flow = at->second;
+    const Duration silence = aNow - flow.mLastSeen;
+    if (flow.mBusy && aNow - flow.mBusySince >
+                        (flow.mOpen ? kBusyLimit : kOpeningLimit)) {
+      SetBusy(flow, false, aNow);
+    }
+    Duration memory = idle;
+    if (flow.mDead) {
+      memory = kDeadMemory;
+    } else if (flow.mCallerFin && flow.mBackendFin) {
+      memory = kClosedMemory;
+    } else if (!flow.mOpen) {
+      memory = kOpeningLimit;
+    }
+    const auto next = std::next(at);
+    if (silence > memory) {
+      Erase(at);
+    }
+    at = next;
+  }
+}
+
+size_t
+AgentCore::OpenFlows() const
+{
+  return static_cast<size_t>(
+    std::ranges::count_if(mFlows, [](const auto& aEntry) {
+      const AgentFlow& flow = aEntry.second;
+      return !flow.mDead && (flow.mBusy || (flow.mOpen && !flow.mBackendFin));
+    }));
+}
+
+void
+AgentCore::Decide(Verdict aVerdict,
+                  const FlowId& aId,
+                  cluster::NodeIp aPeer,
+                  Refusal aRefusal,
+                  Duration aElapsed,
+                  std::string_view aReason)
+{
+  Decision decision;
+  decision.mVerdict = aVerdict;
+  decision.mFlow = aId;
+  decision.mPeer = { aPeer.Value(), 0 };
+  decision.mRefusal = aRefusal;
+  decision.mLoad = mLoad;
+  decision.mElapsed = aElapsed;
+  decision.mReason = aReason;
+  mDecisions.OnDecision(decision);
+}
+
+} // namespace snipepost::flow
--- /dev/null
+++ b/src/Flow/EntryCore.cpp
@@ -0,0 +1,705 @@
+#include <snipepost/Flow/EntryCore.h>
+
+#include <algorithm>
+
+#include "src/Routing/Hash.h"
+
+namespace snipepost::flow {
+
+namespace {
+
+constexpr uint64_t kSplitSeed = 0x73706c6974000001;
+
+/// Candidates of the own failure domain and of the others for one flow.
+constexpr size_t kCandidatesEach = 4;
+/// Agents asked by the first packets of a flow whose owner is not known, and
+/// by later ones, in the own failure domain and elsewhere.
+constexpr size_t kLocateEach = 4;
+constexpr size_t kLocateAllEach = 64;
+constexpr uint32_t kNarrowLocates = 2;
+/// Packets by which a flow is looked for before it counts as gone.
+constexpr uint32_t kMaxLocates = 24;
+constexpr size_t kMaxOffers = 8;
+/// Offers that only a free slot accepts. More of them would cost the path to
+/// yet another failure domain for each.
+constexpr size_t kFreeOffers = 2;
+
+/// Wait for the reply to an offer: a handshake takes 0.3 ms, the path to
+/// another failure domain and back about 8 ms.
+constexpr Duration kLocalReplyTimeout = std::chrono::milliseconds(15);
+constexpr Duration kRemoteReplyTimeout = std::chrono::milliseconds(30);
+constexpr Duration kMaxReplyTimeout = std::chrono::milliseconds(80);
+/// Offers in a row without a reply, after which an agent is avoided.
+constexpr uint32_t kUnansweredLimit = 2;
+constexpr Duration kFirstAvoid = std::chrono::milliseconds(100);
+constexpr Duration kLongestAvoid = std::chrono::seconds(1);
+
+/// Callers repeat an opening packet for 1.4 s; ended flows see late packets
+/// for the longest retransmission interval.
+constexpr Duration kOpeningMemory = std::chrono::seconds(2);
+constexpr Duration kClosedMemory = std::chrono::seconds(2);
+/// Bounds the memory of the flow table to about 20 MB. At the two-year size
+/// an entry instance continues 18,400 flows.
+constexpr size_t kMaxFlows = 65536;
+/// Largest distance of a caller's acknowledgement from the start of the
+/// sequence, for the first packets of a flow.
+constexpr uint32_t kResolveWindow = 1U << 20;
+
+FlowId
+IdOf(const Packet& aPacket)
+{
+  return { aPacket.mSource, aPacket.mDestination };
+}
+
+/// How long an agent that refused is passed over while others are left.
+Duration
+AvoidTime(Refusal aRefusal)
+{
+  switch (aRefusal) {
+    case Refusal::Full:
+      return std::chrono::milliseconds(30);
+    case Refusal::Cold:
+      return std::chrono::milliseconds(100);
+    case Refusal::NotReady:
+    case Refusal::Silent:
+      return std::chrono::milliseconds(150);
+    case Refusal::Draining:
+    case Refusal::Evacuated:
+    case Refusal::WrongService:
+      return std::chrono::milliseconds(500);
+    case Refusal::None:
+    case Refusal::Busy:
+      break;
+  }
+  return Duration::zero();
+}
+
+/// True when a copy of the opening packet may be taken some 100 ms later.
+bool
+MayPass(Refusal aRefusal)
+{
+  return aRefusal == Refusal::NotReady || aRefusal == Refusal::Silent ||
+         aRefusal == Refusal::Cold;
+}
+
+TransitMark
+MarkFor(size_t aAttempt, size_t aCandidatesLeft)
+{
+  if (aCandidatesLeft <= 1) {
+    return TransitMark::OfferLast;
+  }
+  return aAttempt < kFreeOffers ? TransitMark::OfferFree
+                                : TransitMark::OfferQueue;
+}
+
+} // namespace
+
+EntryCore::EntryCore(std::string aDomain,
+                     const cluster::Replica& aReplica,
+                     EntryOutput& aOutput,
+                     DecisionSink& aDecisions)
+  : mDomain(std::move(aDomain))
+  , mReplica(aReplica)
+  , mOutput(aOutput)
+  , mDecisions(aDecisions)
+  , mRoutes(aReplica.Routes())
+{
+  RebuildServers();
+}
+
+void
+EntryCore::OnCallerPacket(const Packet& aPacket,
+                          std::span<const uint8_t> aBytes,
+                          Instant aNow)
+{
+  if (aPacket.Opens()) {
+    OnOpening(aPacket, aBytes, aNow);
+    return;
+  }
+  const FlowId id = IdOf(aPacket);
+  const auto found = mFlows.find(id);
+  EntryFlow& flow =
+    found == mFlows.end() ? AddFlow(id, aNow) : found->second;
+  flow.mLastSeen = aNow;
+  flow.mClosing = flow.mClosing || aPacket.mFin || aPacket.mReset;
+  Continue(id, flow, aPacket, aBytes, aNow);
+}
+
+EntryCore::EntryFlow&
+EntryCore::AddFlow(const FlowId& aId, Instant aNow)
+{
+  if (mFlows.size() >= kMaxFlows) {
+    mFlows.erase(mFlows.begin());
+  }
+  EntryFlow& flow = mFlows[aId];
+  flow = EntryFlow();
+  flow.mOpenedAt = aNow;
+  flow.mLastSeen = aNow;
+  return flow;
+}
+
+void
+EntryCore::OnOpening(const Packet& aPacket,
+                     std::span<const uint8_t> aBytes,
+                     Instant aNow)
+{
+  const FlowId id = IdOf(aPacket);
+  const auto found = mFlows.find(id);
+  if (found != mFlows.end() && !found->second.mOpening.empty() &&
+      found->second.mCallerSequence == aPacket.mSequence) {
+    found->second.mLastSeen = aNow;
+    found->second.mPacket = aPacket;
+    found->second.mOpening.assign(aBytes.begin(), aBytes.end());
+    OnCopy(id, found->second, aNow);
+    return;
+  }
+  if (!mRoutes->mRoutes.contains(aPacket.mDestination)) {
+    OnUnknownRoute(id, aPacket);
+    return;
+  }
+  EntryFlow& flow = AddFlow(id, aNow);
+  flow.mCallerSequence = aPacket.mSequence;
+  flow.mPacket = aPacket;
+  flow.mOpening.assign(aBytes.begin(), aBytes.end());
+  MakeOffer(id, flow, aNow);
+}
+
+void
+EntryCore::OnCopy(const FlowId& aId, EntryFlow& aFlow, Instant aNow)
+{
+  if (aFlow.mRejected) {
+    mOutput.SendReset(aFlow.mPacket);
+    return;
+  }
+  // The answer to the caller was lost: the backend server repeats it.
+  for (const Offer& offer : aFlow.mOffers) {
+    if (offer.mState == OfferState::Taken) {
+      const auto route = mRoutes->mRoutes.find(aId.mService);
+      const uint32_t tag = route == mRoutes->mRoutes.end()
+                             ? 0
+                             : ServiceTag(ServiceOf(route->second, aId));
+      mOutput.SendToAgent(
+        aFlow.mOpening, offer.mAgent, tag, TransitMark::OfferLast);
+      return;
+    }
+  }
+  // Refusals of 200 ms ago say little, and an agent that did not answer may
+  // have restarted.
+  aFlow.mOffers.clear();
+  MakeOffer(aId, aFlow, aNow);
+}
+
+void
+EntryCore::OnUnknownRoute(const FlowId& aId, const Packet& aPacket)
+{
+  EntryFlow none;
+  none.mPacket = aPacket;
+  // A route that is not known may have been added just now; the caller's
+  // copies find the newer configuration. A removed one does not come back.
+  const bool removed = mRemovedRoutes.contains(aId.mService);
+  if (removed && mReplica.Complete()) {
+    mOutput.SendReset(aPacket);
+  }
+  Decide(removed ? Verdict::Rejected : Verdict::Dropped,
+         aId,
+         none,
+         {},
+         Refusal::None,
+         removed ? "route-removed" : "route-unknown",
+         none.mOpenedAt);
+}
+
+const std::string&
+EntryCore::ServiceOf(const cluster::Route& aRoute, const FlowId& aId) const
+{
+  if (aRoute.mServices.size() == 1) {
+    return aRoute.mServices.front().mService;
+  }
+  uint64_t total = 0;
+  for (const cluster::WeightedService& share : aRoute.mServices) {
+    total += share.mWeight;
+  }
+  uint64_t point = HashWord(FlowHash(aId), kSplitSeed) % total;
+  for (const cluster::WeightedService& share : aRoute.mServices) {
+    if (point < share.mWeight) {
+      return share.mService;
+    }
+    point -= share.mWeight;
+  }
+  return aRoute.mServices.back().mService;
+}
+
+EntryCore::Servers
+EntryCore::ServersOf(const cluster::Route& aRoute) const
+{
+  Servers servers;
+  for (const cluster::WeightedService& share : aRoute.mServices) {
+    const auto found = mServers.find(share.mService);
+    if (found != mServers.end()) {
+      servers.insert(servers.end(), found->second.begin(), found->second.end());
+    }
+  }
+  return servers;
+}
+
+std::vector<Candidate>
+EntryCore::OpenCandidates(const FlowId& aId,
+                          const EntryFlow& aFlow,
+                          const std::string& aService)
+{
+  Servers open;
+  const auto found = mServers.find(aService);
+  if (found == mServers.end()) {
+    return {};
+  }
+  for (const cluster::BackendRecord* server : found->second) {
+    const auto offered =
+      std::ranges::find(aFlow.mOffers, server->mAgent, &Offer::mAgent);
+    if (server->mState == cluster::BackendState::Ready &&
+        !mReplica.Evacuated(server->mDomain) &&
+        offered == aFlow.mOffers.end()) {
+      open.push_back(server);
+    }
+  }
+  auto candidates = RankByHash(FlowHash(aId), open, mDomain, kCandidatesEach);
+  for (Candidate& candidate : candidates) {
+    candidate.mView = &mViews[candidate.mRecord->mAgent];
+  }
+  return candidates;
+}
+
+void
+EntryCore::MakeOffer(const FlowId& aId, EntryFlow& aFlow, Instant aNow)
+{
+  aFlow.mDeadline.reset();
+  const auto route = mRoutes->mRoutes.find(aId.mService);
+  if (route == mRoutes->mRoutes.end()) {
+    Reject(aId, aFlow, "route-removed", aNow);
+    return;
+  }
+  const std::string& service = ServiceOf(route->second, aId);
+  const auto candidates = OpenCandidates(aId, aFlow, service);
+  const auto best = aFlow.mOffers.size() < kMaxOffers
+                      ? BestCandidate(candidates, aNow)
+                      : std::nullopt;
+  if (best) {
+    const TransitMark mark = MarkFor(aFlow.mOffers.size(), candidates.size());
+    SendOffer(aId, aFlow, candidates[*best], mark, aNow);
+    return;
+  }
+  if (!OfferToBusy(aId, aFlow, service, aNow)) {
+    GiveUp(aId, aFlow, aNow);
+  }
+}
+
+bool
+EntryCore::OfferToBusy(const FlowId& aId,
+                       EntryFlow& aFlow,
+                       const std::string& aService,
+                       Instant aNow)
+{
+  Offer* least = nullptr;
+  for (Offer& offer : aFlow.mOffers) {
+    const bool busy = offer.mState == OfferState::Refused &&
+                      offer.mRefusal == Refusal::Busy &&
+                      offer.mMark != TransitMark::OfferLast;
+    if (busy && (!least || offer.mLoad < least->mLoad)) {
+      least = &offer;
+    }
+  }
+  if (!least) {
+    return false;
+  }
+  const Address agent = least->mAgent;
+  const auto servers = mServers.find(aService);
+  if (servers == mServers.end()) {
+    return false;
+  }
+  const auto record = std::ranges::find(
+    servers->second, agent, &cluster::BackendRecord::mAgent);
+  if (record == servers->second.end()) {
+    return false;
+  }
+  std::erase_if(aFlow.mOffers, [&agent](const Offer& aOffer) {
+    return aOffer.mAgent == agent;
+  });
+  const Candidate candidate{
+    *record, &mViews[agent], (*record)->mDomain == mDomain, 0
+  };
+  SendOffer(aId, aFlow, candidate, TransitMark::OfferLast, aNow);
+  return true;
+}
+
+Duration
+EntryCore::ReplyTimeout(const Candidate& aCandidate) const
+{
+  const Duration least =
+    aCandidate.mLocal ? kLocalReplyTimeout : kRemoteReplyTimeout;
+  return std::clamp(aCandidate.mView->mReplyTime * 3, least, kMaxReplyTimeout);
+}
+
+void
+EntryCore::SendOffer(const FlowId& aId,
+                     EntryFlow& aFlow,
+                     const Candidate& aCandidate,
+                     TransitMark aMark,
+                     Instant aNow)
+{
+  const Address& agent = aCandidate.mRecord->mAgent;
+  AgentView& view = mViews[agent];
+  aFlow.mOffers.push_back(
+    { agent, aNow, OfferState::Waiting, Refusal::None, aMark, 0, 0.0 });
+  aFlow.mDeadline = aNow + ReplyTimeout(aCandidate);
+  mDeadlines.emplace(*aFlow.mDeadline, aId);
+  mOutput.SendToAgent(aFlow.mOpening,
+                      agent,
+                      ServiceTag(aCandidate.mRecord->mService),
+                      aMark);
+  Decide(Verdict::Offered, aId, aFlow, agent, Refusal::None, {}, aNow);
+  view.mLoad = LoadNow(view, aNow) + 1.0;
+  view.mLoadAt = aNow;
+}
+
+void
+EntryCore::GiveUp(const FlowId& aId, EntryFlow& aFlow, Instant aNow)
+{
+  const bool undecided = std::ranges::any_of(
+    aFlow.mOffers, [](const Offer& aOffer) {
+      return aOffer.mState == OfferState::Waiting ||
+             aOffer.mState == OfferState::Late ||
+             aOffer.mState == OfferState::Taken || MayPass(aOffer.mRefusal);
+    });
+  if (undecided || !mReplica.Complete()) {
+    Decide(Verdict::Dropped,
+           aId,
+           aFlow,
+           {},
+           Refusal::None,
+           "no-candidate-left",
+           aNow);
+    return;
+  }
+  Reject(aId,
+         aFlow,
+         aFlow.mOffers.empty() ? "no-backend-server" : "all-refused",
+         aNow);
+}
+
+void
+EntryCore::Reject(const FlowId& aId,
+                  EntryFlow& aFlow,
+                  std::string_view aReason,
+                  Instant aNow)
+{
+  aFlow.mRejected = true;
+  mOutput.SendReset(aFlow.mPacket);
+  const Refusal last =
+    aFlow.mOffers.empty() ? Refusal::None : aFlow.mOffers.back().mRefusal;
+  Decide(Verdict::Rejected, aId, aFlow, {}, last, aReason, aNow);
+}
+
+EntryCore::Offer*
+EntryCore::FindOffer(EntryFlow& aFlow, cluster::NodeIp aAgent)
+{
+  const auto found =
+    std::ranges::find(aFlow.mOffers, aAgent.Value(), [](const Offer& aOffer) {
+      return aOffer.mAgent.mIp;
+    });
+  return found == aFlow.mOffers.end() ? nullptr : &*found;
+}
+
+void
+EntryCore::LearnLoad(AgentView& aView, const OfferReply& aReply, Instant aNow)
+{
+  aView.mLoad = aReply.mLoad;
+  aView.mLoadAt = aNow;
+  aView.mCold = aReply.mCold;
+  aView.mUnanswered = 0;
+  aView.mLastRefusal = aReply.mRefusal;
+  aView.mAvoidUntil = aNow + AvoidTime(aReply.mRefusal);
+}
+
+void
+EntryCore::OnOfferReply(cluster::NodeIp aFrom,
+                        const OfferReply& aReply,
+                        Instant aNow)
+{
+  const auto found = mFlows.find(aReply.mFlow);
+  if (found == mFlows.end() ||
+      found->second.mCallerSequence != aReply.mCallerSequence) {
+    return;
+  }
+  EntryFlow& flow = found->second;
+  Offer* offer = FindOffer(flow, aFrom);
+  if (!offer || offer->mState == OfferState::Taken) {
+    return;
+  }
+  AgentView& view = mViews[offer->mAgent];
+  LearnLoad(view, aReply, aNow);
+  const Duration taken = aNow - offer->mSentAt;
+  view.mReplyTime = view.mReplyTime == Duration::zero()
+                      ? taken
+                      : (view.mReplyTime * 7 + taken) / 8;
+  offer->mLoad = aReply.mLoad;
+  offer->mRefusal = aReply.mRefusal;
+  const bool waited = offer->mState == OfferState::Waiting;
+  if (aReply.mRefusal == Refusal::None) {
+    offer->mState = OfferState::Taken;
+    offer->mBackendSequence = aReply.mBackendSequence;
+    if (!flow.mOwner) {
+      flow.mOwner = offer->mAgent;
+    }
+    flow.mDeadline.reset();
+    Decide(Verdict::Placed,
+           aReply.mFlow,
+           flow,
+           offer->mAgent,
+           Refusal::None,
+           {},
+           aNow);
+    return;
+  }
+  offer->mState = OfferState::Refused;
+  Decide(Verdict::Refused,
+         aReply.mFlow,
+         flow,
+         offer->mAgent,
+         aReply.mRefusal,
+         {},
+         aNow);
+  if (waited && !flow.mOwner && !flow.mRejected) {
+    MakeOffer(aReply.mFlow, flow, aNow);
+  }
+}
+
+void
+EntryCore::OnOwnerNotice(cluster::NodeIp aFrom,
+                         const OwnerNotice& aNotice,
+                         Instant aNow)
+{
+  const auto found = mFlows.find(aNotice.mFlow);
+  if (found == mFlows.end()) {
+    return;
+  }
+  EntryFlow& flow = found->second;
+  if (!aNotice.mOwned) {
+    if (flow.mOwner && flow.mOwner->mIp == aFrom.Value()) {
+      flow.mOwner.reset();
+      flow.mResolved = true;
+      flow.mOffers.clear();
+    }
+    return;
+  }
+  for (const auto& [name, record] : mReplica.Backends()) {
+    if (record.mAgent.mIp == aFrom.Value()) {
+      flow.mOwner = record.mAgent;
+      flow.mResolved = true;
+      Decide(Verdict::Located,
+             aNotice.mFlow,
+             flow,
+             record.mAgent,
+             Refusal::None,
+             {},
+             aNow);
+      return;
+    }
+  }
+}
+
+void
+EntryCore::Resolve(EntryFlow& aFlow, const Packet& aPacket)
+{
+  if (aFlow.mResolved || !aPacket.mAck) {
+    return;
+  }
+  for (const Offer& offer : aFlow.mOffers) {
+    const uint32_t distance =
+      aPacket.mAcknowledgement - offer.mBackendSequence - 1;
+    if (offer.mState == OfferState::Taken && distance < kResolveWindow) {
+      aFlow.mOwner = offer.mAgent;
+      aFlow.mResolved = true;
+      return;
+    }
+  }
+}
+
+void
+EntryCore::Continue(const FlowId& aId,
+                    EntryFlow& aFlow,
+                    const Packet& aPacket,
+                    std::span<const uint8_t> aBytes,
+                    Instant aNow)
+{
+  Resolve(aFlow, aPacket);
+  if (aFlow.mOwner) {
+    mOutput.SendToAgent(aBytes, *aFlow.mOwner, 0, TransitMark::Owner);
+    return;
+  }
+  // The reply of the agent that took the flow was lost or is on its way.
+  if (!aFlow.mOffers.empty()) {
+    for (const Offer& offer : aFlow.mOffers) {
+      if (offer.mState != OfferState::Refused) {
+        mOutput.SendToAgent(aBytes, offer.mAgent, 0, TransitMark::Locate);
+      }
+    }
+    return;
+  }
+  Locate(aId, aFlow, aBytes, aNow);
+}
+
+void
+EntryCore::Locate(const FlowId& aId,
+                  EntryFlow& aFlow,
+                  std::span<const uint8_t> aBytes,
+                  Instant aNow)
+{
+  Servers servers;
+  const auto route = mRoutes->mRoutes.find(aId.mService);
+  if (route != mRoutes->mRoutes.end()) {
+    servers = ServersOf(route->second);
+  } else if (const auto removed = mRemovedRoutes.find(aId.mService);
+             removed != mRemovedRoutes.end()) {
+    servers = ServersOf(removed->second);
+  }
+  if (servers.empty() || ++aFlow.mLocateTries > kMaxLocates) {
+    Decide(Verdict::Dropped,
+           aId,
+           aFlow,
+           {},
+           Refusal::None,
+           servers.empty() ? "route-unknown" : "owner-not-found",
+           aNow);
+    return;
+  }
+  const size_t limit =
+    aFlow.mLocateTries <= kNarrowLocates ? kLocateEach : kLocateAllEach;
+  for (const Candidate& candidate :
+       RankByHash(FlowHash(aId), servers, mDomain, limit)) {
+    mOutput.SendToAgent(
+      aBytes, candidate.mRecord->mAgent, 0, TransitMark::Locate);
+  }
+  Decide(Verdict::Locating, aId, aFlow, {}, Refusal::None, {}, aNow);
+}
+
+void
+EntryCore::OnReplicaChanged(cluster::Part aPart, Instant)
+{
+  if (aPart == cluster::Part::Routes) {
+    const auto routes = mReplica.Routes();
+    for (const auto& [address, route] : mRoutes->mRoutes) {
+      if (!routes->mRoutes.contains(address)) {
+        mRemovedRoutes[address] = route;
+      }
+    }
+    mRoutes = routes;
+    std::erase_if(mRemovedRoutes, [this](const auto& aRemoved) {
+      return mRoutes->mRoutes.contains(aRemoved.first);
+    });
+  }
+  RebuildServers();
+}
+
+void
+EntryCore::RebuildServers()
+{
+  mServers.clear();
+  for (const auto& [name, record] : mReplica.Backends()) {
+    mServers[record.mService].push_back(&record);
+  }
+  std::erase_if(mViews, [this](const auto& aView) {
+    return !mReplica.Backends().contains(cluster::RecordName(aView.first));
+  });
+}
+
+std::optional<Instant>
+EntryCore::NextDeadline() const
+{
+  if (mDeadlines.empty()) {
+    return std::nullopt;
+  }
+  return mDeadlines.begin()->first;
+}
+
+void
+EntryCore::OnTimer(Instant aNow)
+{
+  while (!mDeadlines.empty() && mDeadlines.begin()->first <= aNow) {
+    const auto [deadline, id] = *mDeadlines.begin();
+    mDeadlines.erase(mDeadlines.begin());
+    const auto found = mFlows.find(id);
+    if (found == mFlows.end() || found->second.mDeadline != deadline) {
+      continue; // Answered meanwhile.
+    }
+    EntryFlow& flow = found->second;
+    Offer& offer = flow.mOffers.back();
+    offer.mState = OfferState::Late;
+    AgentView& view = mViews[offer.mAgent];
+    if (++view.mUnanswered >= kUnansweredLimit) {
+      const uint32_t doublings =
+        std::min(view.mUnanswered - kUnansweredLimit, 4U);
+      view.mAvoidUntil =
+        aNow + std::min(kFirstAvoid * (1U << doublings), kLongestAvoid);
+    }
+    Decide(Verdict::Unanswered,
+           id,
+           flow,
+           offer.mAgent,
+           Refusal::None,
+           {},
+           aNow);
+    MakeOffer(id, flow, aNow);
+  }
+}
+
+void
+EntryCore::Expire(Instant aNow)
+{
+  const Duration idle = mRoutes->mIdleTimeout;
+  std::erase_if(mFlows, [&](const auto& aEntry) {
+    const EntryFlow& flow = aEntry.second;
+    const Duration silence = aNow - flow.mLastSeen;
+    if (flow.mClosing) {
+      return silence > kClosedMemory;
+    }
+    if (!flow.mOwner) {
+      return silence > kOpeningMemory;
+    }
+    return silence > idle;
+  });
+}
+
+size_t
+EntryCore::AvoidedAgents(Instant aNow) const
+{
+  return static_cast<size_t>(
+    std::ranges::count_if(mViews, [aNow](const auto& aView) {
+      return aNow < aView.second.mAvoidUntil;
+    }));
+}
+
+void
+EntryCore::Decide(Verdict aVerdict,
+                  const FlowId& aId,
+                  const EntryFlow& aFlow,
+                  const Address& aPeer,
+                  Refusal aRefusal,
+                  std::string_view aReason,
+                  Instant aNow)
+{
+  Decision decision;
+  decision.mVerdict = aVerdict;
+  decision.mFlow = aId;
+  decision.mPeer = aPeer;
+  decision.mAttempt = static_cast<uint32_t>(aFlow.mOffers.size());
+  decision.mRefusal = aRefusal;
+  decision.mElapsed = aNow - aFlow.mOpenedAt;
+  decision.mReason = aReason;
+  const auto view = mViews.find(aPeer);
+  if (view != mViews.end()) {
+    decision.mLoad = view->second.mLoad;
+    decision.mLoadAge = aNow - view->second.mLoadAt;
+  }
+  mDecisions.OnDecision(decision);
+}
+
+} // namespace snipepost::flow
--- /dev/null
+++ b/src/Flow/NodeMessage.cpp
@@ -0,0 +1,226 @@
+#include <snipepost/Flow/NodeMessage.h>
+
+#include <algorithm>
+#include <array>
+
+#include <snipepost/Base/Bytes.h>
+
+namespace snipepost::flow {
+
+namespace {
+
+constexpr uint16_t kMagic = 0x534e;
+constexpr uint8_t kFormat = 1;
+
+enum class Type : uint8_t
+{
+  Digest = 1,
+  OfferReply = 2,
+  OwnerNotice = 3,
+};
+
+constexpr uint8_t kReplyWanted = 1;
+constexpr uint8_t kAgentRole = 2;
+constexpr std::array kRefusalNames = {
+  "none",      "busy",          "full",      "cold",   "draining",
+  "evacuated", "wrong-service", "not-ready", "silent",
+};
+
+void
+WriteAddress(ByteWriter& aOut, const Address& aAddress)
+{
+  aOut.U32(aAddress.mIp);
+  aOut.U16(aAddress.mPort);
+}
+
+Address
+ReadAddress(ByteReader& aIn)
+{
+  Address address;
+  address.mIp = aIn.U32();
+  address.mPort = aIn.U16();
+  return address;
+}
+
+void
+WriteFlow(ByteWriter& aOut, const FlowId& aFlow)
+{
+  WriteAddress(aOut, aFlow.mCaller);
+  WriteAddress(aOut, aFlow.mService);
+}
+
+FlowId
+ReadFlow(ByteReader& aIn)
+{
+  FlowId flow;
+  flow.mCaller = ReadAddress(aIn);
+  flow.mService = ReadAddress(aIn);
+  return flow;
+}
+
+uint16_t
+Milliseconds(Duration aAge)
+{
+  const auto count =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aAge).count();
+  return static_cast<uint16_t>(std::clamp<int64_t>(count, 0, UINT16_MAX));
+}
+
+void
+WriteHeader(ByteWriter& aOut, Type aType)
+{
+  aOut.U16(kMagic);
+  aOut.U8(kFormat);
+  aOut.U8(static_cast<uint8_t>(aType));
+}
+
+void
+Write(ByteWriter& aOut, const cluster::Digest& aDigest)
+{
+  WriteHeader(aOut, Type::Digest);
+  const bool agent = aDigest.mRole == cluster::NodeRole::Agent;
+  aOut.U8(static_cast<uint8_t>((aDigest.mReplyWanted ? kReplyWanted : 0) |
+                               (agent ? kAgentRole : 0)));
+  for (const cluster::PartVersion& part : aDigest.mParts) {
+    aOut.U8(part.mKnown ? 1 : 0);
+    aOut.U64(part.mRevision.Value());
+    aOut.U32(part.mDigest);
+  }
+  const size_t watchers =
+    std::min(aDigest.mWatchers.size(), cluster::Digest::kMaxWatchers);
+  aOut.U8(static_cast<uint8_t>(watchers));
+  for (size_t i = 0; i < watchers; ++i) {
+    aOut.U32(aDigest.mWatchers[i].mNode.Value());
+    aOut.U16(Milliseconds(aDigest.mWatchers[i].mAge));
+  }
+  const size_t entries =
+    std::min(aDigest.mEntries.size(), cluster::Digest::kMaxEntries);
+  aOut.U8(static_cast<uint8_t>(entries));
+  for (size_t i = 0; i < entries; ++i) {
+    aOut.U32(aDigest.mEntries[i].Value());
+  }
+}
+
+void
+Write(ByteWriter& aOut, const OfferReply& aReply)
+{
+  WriteHeader(aOut, Type::OfferReply);
+  WriteFlow(aOut, aReply.mFlow);
+  aOut.U32(aReply.mCallerSequence);
+  aOut.U8(static_cast<uint8_t>(aReply.mRefusal));
+  aOut.U32(aReply.mBackendSequence);
+  aOut.U16(aReply.mLoad);
+  aOut.U16(aReply.mSlots);
+  aOut.U8(aReply.mCold ? 1 : 0);
+}
+
+void
+Write(ByteWriter& aOut, const OwnerNotice& aNotice)
+{
+  WriteHeader(aOut, Type::OwnerNotice);
+  WriteFlow(aOut, aNotice.mFlow);
+  aOut.U8(aNotice.mOwned ? 1 : 0);
+}
+
+std::optional<NodeMessage>
+ReadDigest(ByteReader& aIn)
+{
+  cluster::Digest digest;
+  const uint8_t flags = aIn.U8();
+  digest.mReplyWanted = (flags & kReplyWanted) != 0;
+  digest.mRole = (flags & kAgentRole) ? cluster::NodeRole::Agent
+                                      : cluster::NodeRole::Entry;
+  for (cluster::PartVersion& part : digest.mParts) {
+    part.mKnown = aIn.U8() == 1;
+    part.mRevision = cluster::Revision(aIn.U64());
+    part.mDigest = aIn.U32();
+  }
+  const size_t watchers = aIn.U8();
+  if (watchers > cluster::Digest::kMaxWatchers) {
+    return std::nullopt;
+  }
+  for (size_t i = 0; i < watchers; ++i) {
+    const cluster::NodeIp node(aIn.U32());
+    digest.mWatchers.push_back({ node, std::chrono::milliseconds(aIn.U16()) });
+  }
+  const size_t entries = aIn.U8();
+  if (entries > cluster::Digest::kMaxEntries) {
+    return std::nullopt;
+  }
+  for (size_t i = 0; i < entries; ++i) {
+    digest.mEntries.emplace_back(aIn.U32());
+  }
+  return digest;
+}
+
+std::optional<NodeMessage>
+ReadOfferReply(ByteReader& aIn)
+{
+  OfferReply reply;
+  reply.mFlow = ReadFlow(aIn);
+  reply.mCallerSequence = aIn.U32();
+  const uint8_t refusal = aIn.U8();
+  if (refusal >= kRefusalNames.size()) {
+    return std::nullopt;
+  }
+  reply.mRefusal = static_cast<Refusal>(refusal);
+  reply.mBackendSequence = aIn.U32();
+  reply.mLoad = aIn.U16();
+  reply.mSlots = aIn.U16();
+  reply.mCold = aIn.U8() == 1;
+  return reply;
+}
+
+std::optional<NodeMessage>
+ReadOwnerNotice(ByteReader& aIn)
+{
+  OwnerNotice notice;
+  notice.mFlow = ReadFlow(aIn);
+  notice.mOwned = aIn.U8() == 1;
+  return notice;
+}
+
+} // namespace
+
+std::string_view
+ToString(Refusal aRefusal)
+{
+  return kRefusalNames.at(static_cast<size_t>(aRefusal));
+}
+
+std::vector<uint8_t>
+EncodeMessage(const NodeMessage& aMessage)
+{
+  std::vector<uint8_t> bytes(kMaxNodeMessage);
+  ByteWriter out(bytes);
+  std::visit([&out](const auto& aValue) { Write(out, aValue); }, aMessage);
+  bytes.resize(out.Used());
+  return bytes;
+}
+
+std::optional<NodeMessage>
+DecodeMessage(std::span<const uint8_t> aBytes)
+{
+  ByteReader in(aBytes);
+  if (in.U16() != kMagic || in.U8() != kFormat) {
+    return std::nullopt;
+  }
+  std::optional<NodeMessage> message;
+  switch (static_cast<Type>(in.U8())) {
+    case Type::Digest:
+      message = ReadDigest(in);
+      break;
+    case Type::OfferReply:
+      message = ReadOfferReply(in);
+      break;
+    case Type::OwnerNotice:
+      message = ReadOwnerNotice(in);
+      break;
+  }
+  if (!in.Ok() || !in.Rest().empty()) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+} // namespace snipepost::flow
--- /dev/null
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -0,0 +1,284 @@
+#include "src/FlowDaemon/AgentNode.h"
+
+#include "platform/HeartbeatCodec.h"
+#include "platform/PacketCodec.h"
+
+namespace snipepost {
+
+namespace {
+
+constexpr Duration kExpiryInterval = std::chrono::milliseconds(500);
+
+flow::AgentOptions
+OptionsOf(const NodeSettings& aSettings)
+{
+  flow::AgentOptions options;
+  options.mService = aSettings.mService;
+  options.mDomain = aSettings.mDomain;
+  options.mFlowLimit = aSettings.mFlowLimit;
+  // The other half is left for the news of the evacuation to arrive.
+  options.mEvacuationGrace = aSettings.mEvacuationLimit / 2;
+  return options;
+}
+
+} // namespace
+
+AgentNode::AgentNode(asio::io_context& aContext, Node& aNode)
+  : mNode(aNode)
+  , mCore(OptionsOf(aNode.Settings()),
+          aNode.State(),
+          *this,
+          aNode,
+          aNode.Now())
+  , mPublisher(cluster::RecordName(aNode.Settings().mPackets),
+               aNode.Settings().mPackets.mIp)
+  , mBackendPackets(*this)
+  , mSocket(aContext, aNode.Settings().mPackets)
+  , mBackendSocket(aContext, *aNode.Settings().mOutbound)
+  , mControl(aContext,
+             *aNode.Settings().mControl,
+             [this](const http1::Request& aRequest) {
+               return OnControlCall(aRequest);
+             })
+  , mProbes(aContext,
+            aNode.Settings().mReadiness,
+            [](const http1::Request& aRequest) {
+              const bool known = platform::IsReadinessProbe(aRequest);
+              return http1::Response{ known ? 200U : 404U, {} };
+            })
+  , mTimer(aContext)
+{
+  mSocket.Start(*this);
+  mBackendSocket.Start(mBackendPackets);
+}
+
+void
+AgentNode::StartStopping()
+{
+  mStopping = true;
+  mCore.StartLeaving();
+  Announce();
+}
+
+bool
+AgentNode::Stopped() const
+{
+  return mCore.OpenFlows() == 0 && mPublisher.Settled();
+}
+
+http1::Response
+AgentNode::OnControlCall(const http1::Request& aRequest)
+{
+  const auto call = platform::DecodeBackendCall(aRequest);
+  if (const auto* bad = std::get_if<platform::BadCall>(&call)) {
+    mNode.Metrics().mRejectedHeartbeats.Add();
+    mNode.Log().Write("heartbeat-rejected", { { "reason", bad->mReason } });
+    return { bad->mStatus, "{}" };
+  }
+  if (const auto* departure = std::get_if<platform::Departure>(&call)) {
+    const bool current = mCore.OnDeregister(departure->mId);
+    mNode.Log().Write("backend-left",
+                      { { "id", departure->mId },
+                        { "current", current ? "yes" : "no" } });
+    Announce();
+  } else if (const auto* heartbeat = std::get_if<flow::Heartbeat>(&call)) {
+    OnHeartbeat(*heartbeat);
+  }
+  return { 200, "{}" };
+}
+
+void
+AgentNode::OnHeartbeat(const flow::Heartbeat& aHeartbeat)
+{
+  mNode.Metrics().mHeartbeats.Add();
+  const auto outcome = mCore.OnHeartbeat(aHeartbeat, mNode.Now());
+  if (outcome == flow::HeartbeatOutcome::Unchanged) {
+    return;
+  }
+  const bool draining = aHeartbeat.mState == cluster::BackendState::Draining;
+  mNode.Log().Write(
+    "heartbeat",
+    { { "outcome", std::string(flow::ToString(outcome)) },
+      { "id", aHeartbeat.mId },
+      { "service", aHeartbeat.mService },
+      { "state", draining ? "draining" : "ready" },
+      { "sequence", std::to_string(aHeartbeat.mSequence) },
+      { "born", std::to_string(aHeartbeat.mBorn) } });
+  if (outcome == flow::HeartbeatOutcome::Outdated ||
+      outcome == flow::HeartbeatOutcome::OtherService) {
+    mNode.Metrics().mRejectedHeartbeats.Add();
+    return;
+  }
+  Announce();
+}
+
+void
+AgentNode::Announce()
+{
+  const flow::BackendStatus& status = mCore.Status();
+  if (mStopping || status.Left()) {
+    mPublisher.Want(std::nullopt);
+  } else if (status.Known()) {
+    cluster::BackendRecord record;
+    record.mService = mNode.Settings().mService;
+    record.mAgent = mNode.Settings().mPackets;
+    record.mDomain = mNode.Settings().mDomain;
+    record.mState = status.Draining() ? cluster::BackendState::Draining
+                                      : cluster::BackendState::Ready;
+    record.mSlots = status.Slots();
+    record.mBorn = status.Born();
+    mPublisher.Want(cluster::EncodeRecord(record));
+  }
+  PublishRecord();
+}
+
+void
+AgentNode::ObserveRecord()
+{
+  const auto version = mNode.State().Version(cluster::Part::Backends);
+  if (version.mKnown) {
+    mPublisher.Observe(
+      version.mRevision,
+      mNode.State().Stored(cluster::Part::Backends, mPublisher.Name()));
+  }
+}
+
+void
+AgentNode::PublishRecord()
+{
+  ObserveRecord();
+  const auto write = mPublisher.Next(mNode.Now());
+  if (!write) {
+    return;
+  }
+  mNode.Metrics().mStoreWrites.Add();
+  mNode.Store().Write(
+    mPublisher.Name(), *write, [this](cluster::WriteResult aResult) {
+      mNode.Log().Write(
+        "record-written",
+        { { "outcome", std::string(ToString(aResult.mOutcome)) } });
+      mPublisher.OnOutcome(
+        aResult.mOutcome, std::move(aResult.mStored), mNode.Now());
+    });
+}
+
+void
+AgentNode::OnReplicaChanged(cluster::Part)
+{
+}
+
+void
+AgentNode::OnTick()
+{
+  const Instant now = mNode.Now();
+  PublishRecord();
+  if (now >= mNextExpiry) {
+    mNextExpiry = now + kExpiryInterval;
+    mCore.Expire(now);
+    mNode.Metrics().mFlows.Set(static_cast<double>(mCore.FlowCount()));
+    mNode.Metrics().mLoad.Set(mCore.Load());
+  }
+}
+
+void
+AgentNode::OnDatagram(std::span<const uint8_t> aBytes, const Address& aFrom)
+{
+  mNode.Metrics().mPacketsIn.Add();
+  const auto packet = platform::DecodePacket(aBytes);
+  if (!packet || packet->mReturned) {
+    mNode.Metrics().mMalformedPackets.Add();
+    return;
+  }
+  mCore.OnNodePacket(
+    *packet, aBytes, cluster::NodeIp(aFrom.mIp), mNode.Now());
+}
+
+void
+AgentNode::BackendPackets::OnDatagram(std::span<const uint8_t> aBytes,
+                                      const Address&)
+{
+  NodeMetrics& metrics = mAgent.mNode.Metrics();
+  metrics.mPacketsIn.Add();
+  const auto packet = platform::DecodePacket(aBytes);
+  if (!packet) {
+    metrics.mMalformedPackets.Add();
+    return;
+  }
+  mAgent.mCore.OnBackendPacket(*packet, aBytes, mAgent.mNode.Now());
+}
+
+void
+AgentNode::OnBatchEnd()
+{
+  Finish();
+}
+
+void
+AgentNode::OnMessagesHandled()
+{
+  Finish();
+}
+
+void
+AgentNode::Finish()
+{
+  mSocket.Flush();
+  mBackendSocket.Flush();
+  mNode.Flush();
+  ArmTimer();
+}
+
+void
+AgentNode::ArmTimer()
+{
+  const auto deadline = mCore.NextDeadline();
+  if (!deadline || deadline == mArmedFor) {
+    return;
+  }
+  mArmedFor = deadline;
+  mTimer.expires_after(*deadline - mNode.Now());
+  mTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      mArmedFor.reset();
+      mCore.OnTimer(mNode.Now());
+      Finish();
+    }
+  });
+}
+
+void
+AgentNode::SendToBackend(std::span<const uint8_t> aBytes)
+{
+  mBackendSocket.Send(aBytes, *mNode.Settings().mBackend);
+  mNode.Metrics().mPacketsOut.Add();
+}
+
+void
+AgentNode::SendToCaller(std::span<const uint8_t> aBytes,
+                        const Address& aCaller)
+{
+  mSocket.Send(aBytes, { aCaller.mIp, mNode.Settings().mPackets.mPort });
+  mNode.Metrics().mPacketsOut.Add();
+}
+
+void
+AgentNode::SendReset(const flow::Packet& aPacket)
+{
+  const auto reset = platform::EncodeReset(aPacket);
+  mSocket.Send(reset,
+               { aPacket.mSource.mIp, mNode.Settings().mPackets.mPort });
+}
+
+void
+AgentNode::SendToNode(cluster::NodeIp aNode, const flow::OfferReply& aReply)
+{
+  mNode.Send(aNode, aReply);
+}
+
+void
+AgentNode::SendToNode(cluster::NodeIp aNode, const flow::OwnerNotice& aNotice)
+{
+  mNode.Send(aNode, aNotice);
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/FlowDaemon/AgentNode.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <optional>
+
+#include <asio.hpp>
+
+#include <snipepost/Cluster/RecordPublisher.h>
+#include <snipepost/Flow/AgentCore.h>
+#include <snipepost/Http1/Server.h>
+#include <snipepost/Net/DatagramSocket.h>
+
+#include "src/FlowDaemon/Node.h"
+
+namespace snipepost {
+
+/// An agent: passes packets between entry instances, the backend server beside
+/// it and callers as AgentCore decides, and announces the backend server.
+class AgentNode final
+  : public DatagramHandler
+  , public NodeRoleHandler
+  , public flow::AgentOutput
+{
+public:
+  AgentNode(asio::io_context& aContext, Node& aNode);
+
+  /// Takes no new flows and withdraws the record.
+  void StartStopping();
+  /// True when nothing is left to do for open flows and the record.
+  bool Stopped() const;
+
+  void OnDatagram(std::span<const uint8_t> aBytes,
+                  const Address& aFrom) override;
+  void OnBatchEnd() override;
+  void OnOfferReply(cluster::NodeIp, const flow::OfferReply&) override {}
+  void OnOwnerNotice(cluster::NodeIp, const flow::OwnerNotice&) override {}
+  void OnReplicaChanged(cluster::Part aPart) override;
+  void OnTick() override;
+  void OnMessagesHandled() override;
+  void SendToBackend(std::span<const uint8_t> aBytes) override;
+  void SendToCaller(std::span<const uint8_t> aBytes,
+                    const Address& aCaller) override;
+  void SendReset(const flow::Packet& aPacket) override;
+  void SendToNode(cluster::NodeIp aNode,
+                  const flow::OfferReply& aReply) override;
+  void SendToNode(cluster::NodeIp aNode,
+                  const flow::OwnerNotice& aNotice) override;
+
+private:
+  /// Takes the packets of the backend server.
+  class BackendPackets final : public DatagramHandler
+  {
+  public:
+    explicit BackendPackets(AgentNode& aAgent)
+      : mAgent(aAgent)
+    {
+    }
+    void OnDatagram(std::span<const uint8_t> aBytes,
+                    const Address& aFrom) override;
+    void OnBatchEnd() override { mAgent.Finish(); }
+
+  private:
+    AgentNode& mAgent;
+  };
+
+  http1::Response OnControlCall(const http1::Request& aRequest);
+  void OnHeartbeat(const flow::Heartbeat& aHeartbeat);
+  void Announce();
+  void ObserveRecord();
+  void PublishRecord();
+  void Finish();
+  void ArmTimer();
+
+  Node& mNode;
+  flow::AgentCore mCore;
+  cluster::RecordPublisher mPublisher;
+  BackendPackets mBackendPackets;
+  DatagramSocket mSocket;
+  DatagramSocket mBackendSocket;
+  http1::Server mControl;
+  http1::Server mProbes;
+  asio::steady_timer mTimer;
+  std::optional<Instant> mArmedFor;
+  Instant mNextExpiry;
+  bool mStopping = false;
+};
+
+} // namespace snipepost
--- /dev/null
+++ b/src/FlowDaemon/EntryNode.cpp
@@ -0,0 +1,142 @@
+#include "src/FlowDaemon/EntryNode.h"
+
+#include <cstring>
+
+#include "platform/HeartbeatCodec.h"
+#include "platform/PacketCodec.h"
+
+namespace snipepost {
+
+namespace {
+
+constexpr Duration kExpiryInterval = std::chrono::milliseconds(500);
+
+} // namespace
+
+EntryNode::EntryNode(asio::io_context& aContext, Node& aNode)
+  : mNode(aNode)
+  , mCore(aNode.Settings().mDomain, aNode.State(), *this, aNode)
+  , mSocket(aContext, aNode.Settings().mPackets)
+  , mProbes(aContext,
+            aNode.Settings().mReadiness,
+            [this](const http1::Request& aRequest) {
+              return OnProbe(aRequest);
+            })
+  , mTimer(aContext)
+{
+  mSocket.Start(*this);
+}
+
+http1::Response
+EntryNode::OnProbe(const http1::Request& aRequest)
+{
+  if (!platform::IsReadinessProbe(aRequest)) {
+    return { 404, {} };
+  }
+  // Without the shared state no packet could be sent on.
+  const bool ready = !mStopping && mNode.State().Complete();
+  return { ready ? 200U : 503U, {} };
+}
+
+void
+EntryNode::OnDatagram(std::span<const uint8_t> aBytes, const Address&)
+{
+  mNode.Metrics().mPacketsIn.Add();
+  const auto packet = platform::DecodePacket(aBytes);
+  if (!packet || packet->mReturned) {
+    mNode.Metrics().mMalformedPackets.Add();
+    return;
+  }
+  mCore.OnCallerPacket(*packet, aBytes, mNode.Now());
+}
+
+void
+EntryNode::OnBatchEnd()
+{
+  Finish();
+}
+
+void
+EntryNode::OnMessagesHandled()
+{
+  Finish();
+}
+
+void
+EntryNode::Finish()
+{
+  mSocket.Flush();
+  mNode.Flush();
+  ArmTimer();
+}
+
+void
+EntryNode::ArmTimer()
+{
+  const auto deadline = mCore.NextDeadline();
+  if (!deadline || deadline == mArmedFor) {
+    return;
+  }
+  mArmedFor = deadline;
+  mTimer.expires_after(*deadline - mNode.Now());
+  mTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      mArmedFor.reset();
+      mCore.OnTimer(mNode.Now());
+      Finish();
+    }
+  });
+}
+
+void
+EntryNode::OnOfferReply(cluster::NodeIp aFrom, const flow::OfferReply& aReply)
+{
+  mCore.OnOfferReply(aFrom, aReply, mNode.Now());
+}
+
+void
+EntryNode::OnOwnerNotice(cluster::NodeIp aFrom,
+                         const flow::OwnerNotice& aNotice)
+{
+  mCore.OnOwnerNotice(aFrom, aNotice, mNode.Now());
+}
+
+void
+EntryNode::OnReplicaChanged(cluster::Part aPart)
+{
+  mCore.OnReplicaChanged(aPart, mNode.Now());
+}
+
+void
+EntryNode::OnTick()
+{
+  const Instant now = mNode.Now();
+  if (now >= mNextExpiry) {
+    mNextExpiry = now + kExpiryInterval;
+    mCore.Expire(now);
+    mNode.Metrics().mFlows.Set(static_cast<double>(mCore.FlowCount()));
+  }
+}
+
+void
+EntryNode::SendToAgent(std::span<const uint8_t> aBytes,
+                       const Address& aAgent,
+                       uint32_t aNote,
+                       flow::TransitMark aMark)
+{
+  const auto out = mSocket.Reserve();
+  std::memcpy(out.data(), aBytes.data(), aBytes.size());
+  platform::WriteTransit(out.first(aBytes.size()), aNote, aMark);
+  mSocket.Commit(aBytes.size(), aAgent);
+  mNode.Metrics().mPacketsOut.Add();
+}
+
+void
+EntryNode::SendReset(const flow::Packet& aPacket)
+{
+  const auto reset = platform::EncodeReset(aPacket);
+  mSocket.Send(reset,
+               { aPacket.mSource.mIp, mNode.Settings().mPackets.mPort });
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/FlowDaemon/EntryNode.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <optional>
+
+#include <asio.hpp>
+
+#include <snipepost/Flow/EntryCore.h>
+#include <snipepost/Http1/Server.h>
+#include <snipepost/Net/DatagramSocket.h>
+
+#include "src/FlowDaemon/Node.h"
+
+namespace snipepost {
+
+/// An entry instance: takes callers' packets from the routers and sends them
+/// on to agents as EntryCore decides.
+class EntryNode final
+  : public DatagramHandler
+  , public NodeRoleHandler
+  , public flow::EntryOutput
+{
+public:
+  EntryNode(asio::io_context& aContext, Node& aNode);
+
+  /// Fails the readiness probe from now on, and goes on forwarding.
+  void StartStopping() { mStopping = true; }
+
+  void OnDatagram(std::span<const uint8_t> aBytes,
+                  const Address& aFrom) override;
+  void OnBatchEnd() override;
+  void OnOfferReply(cluster::NodeIp aFrom,
+                    const flow::OfferReply& aReply) override;
+  void OnOwnerNotice(cluster::NodeIp aFrom,
+                     const flow::OwnerNotice& aNotice) override;
+  void OnReplicaChanged(cluster::Part aPart) override;
+  void OnTick() override;
+  void OnMessagesHandled() override;
+  void SendToAgent(std::span<const uint8_t> aBytes,
+                   const Address& aAgent,
+                   uint32_t aNote,
+                   flow::TransitMark aMark) override;
+  void SendReset(const flow::Packet& aPacket) override;
+
+private:
+  void Finish();
+  void ArmTimer();
+  http1::Response OnProbe(const http1::Request& aRequest);
+
+  Node& mNode;
+  flow::EntryCore mCore;
+  DatagramSocket mSocket;
+  http1::Server mProbes;
+  asio::steady_timer mTimer;
+  std::optional<Instant> mArmedFor;
+  Instant mNextExpiry;
+  bool mStopping = false;
+};
+
+} // namespace snipepost
--- /dev/null
+++ b/src/FlowDaemon/Main.cpp
@@ -0,0 +1,154 @@
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio.hpp>
+
+#include "src/FlowDaemon/AgentNode.h"
+#include "src/FlowDaemon/EntryNode.h"
+#include "src/FlowDaemon/Node.h"
+#include "src/FlowDaemon/NodeSettings.h"
+
+namespace snipepost {
+
+namespace {
+
+constexpr int kExitFailure = 1;
+constexpr int kExitBadSettings = 2;
+
+/// How often a stopping agent looks whether its flows have ended.
+constexpr auto kStopPoll = std::chrono::milliseconds(50);
+
+/// Runs a node until it is told to stop.
+class Program
+{
+public:
+  Program(const NodeSettings& aSettings, std::vector<std::string> aArguments)
+    : mArguments(std::move(aArguments))
+    , mNode(mContext, aSettings)
+    , mSignals(mContext, SIGTERM, SIGINT, SIGHUP)
+    , mStopTimer(mContext)
+  {
+    if (aSettings.mRole == cluster::NodeRole::Entry) {
+      mEntry = std::make_unique<EntryNode>(mContext, mNode);
+      mNode.Start(*mEntry);
+    } else {
+      mAgent = std::make_unique<AgentNode>(mContext, mNode);
+      mNode.Start(*mAgent);
+    }
+  }
+
+  void Run()
+  {
+    AwaitSignal();
+    mContext.run();
+  }
+
+private:
+  void AwaitSignal()
+  {
+    mSignals.async_wait([this](const asio::error_code& aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        Reload();
+      } else if (!mStopping) {
+        Stop();
+      }
+      AwaitSignal();
+    });
+  }
+
+  void Reload()
+  {
+    NodeSettings settings;
+    const auto report =
+      LoadNodeSettings(mArguments, ProcessEnvironment(), settings);
+    const std::string error =
+      report.mErrors.empty() ? std::string() : report.mErrors.front();
+    mNode.Log().WriteAlways(
+      "reload",
+      { { "outcome", error.empty() ? "applied" : "rejected" },
+        { "error", error } });
+    if (error.empty()) {
+      mNode.ApplySettings(settings);
+    }
+  }
+
+  void Stop()
+  {
+    mStopping = true;
+    mStopBy = mNode.Now() + mNode.Settings().mStopDelay;
+    mNode.Log().WriteAlways("stop", { { "state", "leaving" } });
+    if (mEntry) {
+      mEntry->StartStopping();
+    } else {
+      mAgent->StartStopping();
+    }
+    PollStop();
+  }
+
+  void PollStop()
+  {
+    const bool done = mAgent && mAgent->Stopped();
+    if (done || mNode.Now() >= mStopBy) {
+      mNode.LogStopped();
+      mContext.stop();
+      return;
+    }
+    mStopTimer.expires_after(kStopPoll);
+    mStopTimer.async_wait([this](const asio::error_code& aError) {
+      if (!aError) {
+        PollStop();
+      }
+    });
+  }
+
+  std::vector<std::string> mArguments;
+  asio::io_context mContext{ 1 };
+  Node mNode;
+  std::unique_ptr<EntryNode> mEntry;
+  std::unique_ptr<AgentNode> mAgent;
+  asio::signal_set mSignals;
+  asio::steady_timer mStopTimer;
+  Instant mStopBy;
+  bool mStopping = false;
+};
+
+int
+RunProgram(const std::vector<std::string>& aArguments)
+{
+  NodeSettings settings;
+  const auto report =
+    LoadNodeSettings(aArguments, ProcessEnvironment(), settings);
+  if (report.mRequest == SettingsRequest::Help) {
+    std::cout << HelpText("snipepost-flowd", NodeSchema().Specs());
+    return 0;
+  }
+  if (report.mRequest == SettingsRequest::Check || !report.mErrors.empty()) {
+    std::cout << CheckText(report);
+    return report.mErrors.empty() ? 0 : kExitBadSettings;
+  }
+  Program(settings, aArguments).Run();
+  return 0;
+}
+
+} // namespace
+
+} // namespace snipepost
+
+int
+main(int aCount, char** aArguments)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return snipepost::RunProgram({ aArguments + 1, aArguments + aCount });
+  } catch (const std::exception& error) {
+    std::cout << "event=start-failed error=\"" << error.what() << "\"\n";
+    return snipepost::kExitFailure;
+  }
+}
--- /dev/null
+++ b/src/FlowDaemon/Node.cpp
@@ -0,0 +1,380 @@
+#include "src/FlowDaemon/Node.h"
+
+#include <chrono>
+#include <random>
+
+#include <unistd.h>
+
+#include <boost/json.hpp>
+
+#include "platform/StoreCodec.h"
+
+namespace snipepost {
+
+namespace {
+
+/// A peer in the next failure domain answers within 10 ms.
+constexpr Duration kFetchTimeout = std::chrono::milliseconds(300);
+constexpr std::string_view kStatePath = "/state/";
+
+constexpr unsigned kNotFound = 404;
+
+std::vector<cluster::NodeIp>
+SeedIps(const NodeSettings& aSettings)
+{
+  std::vector<cluster::NodeIp> seeds;
+  for (const Address& seed : aSettings.mSeeds) {
+    seeds.emplace_back(seed.mIp);
+  }
+  return seeds;
+}
+
+uint64_t
+RandomSeed()
+{
+  std::random_device source;
+  return (uint64_t{ source() } << 32) | source();
+}
+
+Address
+WithPort(const Address& aAddress, uint64_t aPort)
+{
+  return { aAddress.mIp, static_cast<uint16_t>(aPort) };
+}
+
+int64_t
+WallMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+std::string
+InMs(Duration aTime)
+{
+  const auto us =
+    std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
+  return std::to_string(us / 1000) + '.' + std::to_string(us % 1000 / 100);
+}
+
+std::string
+IpText(cluster::NodeIp aNode)
+{
+  const std::string text = ToString(Address{ aNode.Value(), 1 });
+  return text.substr(0, text.find(':'));
+}
+
+} // namespace
+
+Node::Node(asio::io_context& aContext, const NodeSettings& aSettings)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mLog(STDOUT_FILENO, aSettings.mLogRate)
+  , mReplica(&platform::DecodeRouteConfig)
+  , mGossip(cluster::NodeIp(aSettings.mPackets.mIp),
+            aSettings.mRole,
+            SeedIps(aSettings),
+            Now(),
+            RandomSeed())
+  , mStore(aContext, aSettings.mStore)
+  , mSync(mStore, mReplica, *this, RandomSeed())
+  , mSocket(aContext, WithPort(aSettings.mPackets, aSettings.mInternalPort))
+  , mServer(aContext,
+            WithPort(aSettings.mPackets, aSettings.mInternalPort),
+            [this](const http1::Request& aRequest) { return Serve(aRequest); })
+  , mMetricsServer(
+      aContext,
+      WithPort(aSettings.mPackets, aSettings.mMetricsPort),
+      [this](const http1::Request& aRequest) { return Serve(aRequest); })
+  , mTimer(aContext)
+{
+}
+
+Instant
+Node::Now() const
+{
+  return Instant(std::chrono::duration_cast<Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+void
+Node::Start(NodeRoleHandler& aRole)
+{
+  mRole = &aRole;
+  mLog.Flush(Now(), WallMs());
+  mLog.WriteAlways("start",
+                   { { "name", mSettings.mName },
+                     { "domain", mSettings.mDomain },
+                     { "packets", ToString(mSettings.mPackets) } });
+  mReplica.Observe([this](cluster::Part aPart, const std::string& aWhat) {
+    OnReplicaChanged(aPart, aWhat);
+  });
+  mSocket.Start(*this);
+  Tick();
+}
+
+void
+Node::ApplySettings(const NodeSettings& aSettings)
+{
+  mSettings.mSeeds = aSettings.mSeeds;
+  mSettings.mLogRate = aSettings.mLogRate;
+  mGossip.SetSeeds(SeedIps(aSettings));
+  mLog.SetRate(aSettings.mLogRate);
+}
+
+void
+Node::LogStopped()
+{
+  mLog.WriteAlways("stop", { { "state", "ended" } });
+  mLog.Flush(Now(), WallMs());
+}
+
+void
+Node::ScheduleTick()
+{
+  mTimer.expires_after(kTick);
+  mTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+void
+Node::Tick()
+{
+  const Instant now = Now();
+  const bool watch = mGossip.ShouldWatch(now);
+  if (watch != mWatching) {
+    mWatching = watch;
+    mLog.Write("store-watch", { { "watching", watch ? "yes" : "no" } });
+  }
+  mSync.Step(watch, now);
+  mGossip.SetWatchHealthy(mSync.Healthy());
+  Gossip();
+  mRole->OnTick();
+  mLog.Flush(now, WallMs());
+  ScheduleTick();
+}
+
+void
+Node::Gossip()
+{
+  const Instant now = Now();
+  auto targets = mGossip.Round(mReplica, now);
+  if (targets.empty() && !mPushPending) {
+    return;
+  }
+  if (mPushPending) {
+    mPushPending = false;
+    const auto more = mGossip.PushTargets(mReplica);
+    targets.insert(targets.end(), more.begin(), more.end());
+  }
+  const cluster::Digest digest = mGossip.Compose(mReplica, now, false);
+  for (const cluster::NodeIp& target : targets) {
+    Send(target, digest);
+  }
+  mSocket.Flush();
+}
+
+void
+Node::Send(cluster::NodeIp aTo, const flow::NodeMessage& aMessage)
+{
+  const auto bytes = flow::EncodeMessage(aMessage);
+  mSocket.Send(
+    bytes, WithPort(Address{ aTo.Value(), 0 }, mSettings.mInternalPort));
+}
+
+void
+Node::OnDatagram(std::span<const uint8_t> aBytes, const Address& aFrom)
+{
+  const auto message = flow::DecodeMessage(aBytes);
+  if (!message) {
+    mMetrics.mMalformedMessages.Add();
+    return;
+  }
+  const cluster::NodeIp from(aFrom.mIp);
+  if (const auto* digest = std::get_if<cluster::Digest>(&*message)) {
+    OnDigest(from, *digest);
+  } else if (const auto* reply = std::get_if<flow::OfferReply>(&*message)) {
+    mRole->OnOfferReply(from, *reply);
+  } else if (const auto* notice = std::get_if<flow::OwnerNotice>(&*message)) {
+    mRole->OnOwnerNotice(from, *notice);
+  }
+}
+
+void
+Node::OnBatchEnd()
+{
+  mRole->OnMessagesHandled();
+}
+
+void
+Node::OnDigest(cluster::NodeIp aFrom, const cluster::Digest& aDigest)
+{
+  const Instant now = Now();
+  const auto reaction = mGossip.OnDigest(aFrom, aDigest, mReplica, now);
+  for (const cluster::Part part : reaction.mFetch) {
+    FetchPart(aFrom, part);
+  }
+  if (reaction.mReply) {
+    Send(aFrom, mGossip.Compose(mReplica, now, false));
+  }
+}
+
+void
+Node::FetchPart(cluster::NodeIp aPeer, cluster::Part aPart)
+{
+  Fetch& fetch = mFetches[cluster::Index(aPart)];
+  if (fetch.mBusy) {
+    return;
+  }
+  fetch.mBusy = true;
+  mMetrics.mPeerFetches.Add();
+  const Address address{ aPeer.Value(),
+                         static_cast<uint16_t>(mSettings.mInternalPort) };
+  fetch.mClient = std::make_unique<http1::Client>(mContext, address);
+  http1::Request request;
+  request.mPath =
+    std::string(kStatePath) + std::string(cluster::ToString(aPart));
+  fetch.mClient->Call(
+    std::move(request),
+    kFetchTimeout,
+    [this, aPeer, aPart](http1::Result aResult,
+                         const http1::Response& aResponse) {
+      OnFetched(aPeer, aPart, aResult, aResponse);
+    });
+}
+
+void
+Node::OnFetched(cluster::NodeIp aPeer,
+                cluster::Part aPart,
+                http1::Result aResult,
+                const http1::Response& aResponse)
+{
+  mFetches[cluster::Index(aPart)].mBusy = false;
+  const auto snapshot = aResult == http1::Result::Ok
+                          ? cluster::Replica::DecodeSnapshot(aResponse.mBody)
+                          : std::nullopt;
+  if (!snapshot) {
+    // The next digest of any peer asks again.
+    mLog.Write("peer-fetch-failed",
+               { { "peer", IpText(aPeer) },
+                 { "part", std::string(cluster::ToString(aPart)) },
+                 { "result", std::string(http1::ToString(aResult)) } });
+    return;
+  }
+  mReplica.ApplySnapshot(aPart, *snapshot);
+}
+
+void
+Node::OnReplicaChanged(cluster::Part aPart, const std::string& aWhat)
+{
+  const auto version = mReplica.Version(aPart);
+  mLog.Write("state-changed",
+             { { "part", std::string(cluster::ToString(aPart)) },
+               { "revision", std::to_string(version.mRevision.Value()) },
+               { "change", aWhat } });
+  mRole->OnReplicaChanged(aPart);
+  if (mPushPending) {
+    return;
+  }
+  mPushPending = true;
+  // After the whole change is applied.
+  asio::post(mContext, [this] { Gossip(); });
+}
+
+void
+Node::OnStoreLost(cluster::Part aPart, cluster::ReadOutcome aOutcome)
+{
+  mLog.WriteAlways("store-lost",
+                   { { "part", std::string(cluster::ToString(aPart)) },
+                     { "outcome", std::string(ToString(aOutcome)) } });
+}
+
+void
+Node::OnStoreRegained(cluster::Part aPart)
+{
+  mLog.WriteAlways("store-regained",
+                   { { "part", std::string(cluster::ToString(aPart)) } });
+}
+
+void
+Node::OnDecision(const flow::Decision& aDecision)
+{
+  mMetrics.OnDecision(aDecision);
+  if (aDecision.mVerdict == flow::Verdict::Offered) {
+    return; // The outcome of the offer has a line.
+  }
+  mLog.Write(
+    flow::ToString(aDecision.mVerdict),
+    { { "caller", ToString(aDecision.mFlow.mCaller) },
+      { "route", ToString(aDecision.mFlow.mService) },
+      { "peer", IpText(cluster::NodeIp(aDecision.mPeer.mIp)) },
+      { "offers", std::to_string(aDecision.mAttempt) },
+      { "refusal", std::string(flow::ToString(aDecision.mRefusal)) },
+      { "load", std::to_string(static_cast<int>(aDecision.mLoad)) },
+      { "load_age_ms", InMs(aDecision.mLoadAge) },
+      { "elapsed_ms", InMs(aDecision.mElapsed) },
+      { "config",
+        std::to_string(mReplica.Routes()->mVersion.Value()) },
+      { "reason", std::string(aDecision.mReason) } });
+}
+
+void
+Node::UpdateGauges()
+{
+  mMetrics.mStoreCalls.Set(static_cast<double>(mSync.Calls()));
+  mMetrics.mStoreReachable.Set(mSync.Reachable() ? 1.0 : 0.0);
+  mMetrics.mConfigVersion.Set(
+    static_cast<double>(mReplica.Routes()->mVersion.Value()));
+  mMetrics.mEvacuations.Set(
+    static_cast<double>(mReplica.EvacuatedDomains().size()));
+  mMetrics.mBackends.Set(static_cast<double>(mReplica.Backends().size()));
+  mMetrics.mLogLinesDropped.Set(static_cast<double>(mLog.Dropped()));
+}
+
+std::string
+Node::StatusText() const
+{
+  boost::json::object status = {
+    { "name", mSettings.mName },
+    { "domain", mSettings.mDomain },
+    { "config", mReplica.Routes()->mVersion.Value() },
+    { "backends", mReplica.Backends().size() },
+    { "watching", mWatching },
+    { "storeReachable", mSync.Reachable() },
+  };
+  boost::json::array evacuated;
+  for (const std::string& domain : mReplica.EvacuatedDomains()) {
+    evacuated.emplace_back(domain);
+  }
+  status["evacuated"] = std::move(evacuated);
+  return boost::json::serialize(status);
+}
+
+http1::Response
+Node::Serve(const http1::Request& aRequest)
+{
+  if (aRequest.mMethod != "GET") {
+    return { kNotFound, {} };
+  }
+  if (aRequest.mPath == "/metrics") {
+    UpdateGauges();
+    return { 200, mMetrics.Text(), "text/plain; version=0.0.4" };
+  }
+  if (aRequest.mPath == "/status") {
+    return { 200, StatusText() };
+  }
+  for (const cluster::Part part : cluster::kParts) {
+    const std::string path =
+      std::string(kStatePath) + std::string(cluster::ToString(part));
+    if (aRequest.mPath == path && mReplica.Known(part)) {
+      return { 200, mReplica.EncodeSnapshot(part) };
+    }
+  }
+  return { kNotFound, {} };
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/FlowDaemon/Node.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio.hpp>
+
+#include <snipepost/Cluster/GossipCore.h>
+#include <snipepost/Cluster/Replica.h>
+#include <snipepost/Cluster/StoreSync.h>
+#include <snipepost/Flow/Decision.h>
+#include <snipepost/Flow/NodeMessage.h>
+#include <snipepost/Http1/Client.h>
+#include <snipepost/Http1/Server.h>
+#include <snipepost/Net/DatagramSocket.h>
+
+#include "platform/StoreClient.h"
+#include "src/FlowDaemon/EventLog.h"
+#include "src/FlowDaemon/NodeMetrics.h"
+#include "src/FlowDaemon/NodeSettings.h"
+
+namespace snipepost {
+
+/// What a role adds to a node.
+class NodeRoleHandler
+{
+public:
+  virtual ~NodeRoleHandler() = default;
+  virtual void OnOfferReply(cluster::NodeIp aFrom,
+                            const flow::OfferReply& aReply) = 0;
+  virtual void OnOwnerNotice(cluster::NodeIp aFrom,
+                             const flow::OwnerNotice& aNotice) = 0;
+  virtual void OnReplicaChanged(cluster::Part aPart) = 0;
+  /// Called every kTick.
+  virtual void OnTick() = 0;
+  /// Called after messages of other nodes were handled.
+  virtual void OnMessagesHandled() = 0;
+};
+
+/// What every node does, whatever its role: it keeps a replica of the shared
+/// state by the store and by its peers, serves it to them, and logs and counts.
+class Node final
+  : public DatagramHandler
+  , public cluster::StoreListener
+  , public flow::DecisionSink
+{
+public:
+  /// Interval of the periodic work. Gossip rounds and retries are counted in
+  /// hundreds of milliseconds.
+  static constexpr Duration kTick = std::chrono::milliseconds(100);
+
+  Node(asio::io_context& aContext, const NodeSettings& aSettings);
+
+  void Start(NodeRoleHandler& aRole);
+
+  /// Adopts what may change while the process runs: seeds and the log rate.
+  void ApplySettings(const NodeSettings& aSettings);
+  /// Writes the last line.
+  void LogStopped();
+
+  Instant Now() const;
+  cluster::Replica& State() { return mReplica; }
+  cluster::Store& Store() { return mStore; }
+  EventLog& Log() { return mLog; }
+  NodeMetrics& Metrics() { return mMetrics; }
+  const NodeSettings& Settings() const { return mSettings; }
+
+  /// Queues a message; Flush() sends it.
+  void Send(cluster::NodeIp aTo, const flow::NodeMessage& aMessage);
+  void Flush() { mSocket.Flush(); }
+
+  void OnDatagram(std::span<const uint8_t> aBytes,
+                  const Address& aFrom) override;
+  void OnBatchEnd() override;
+  void OnStoreLost(cluster::Part aPart,
+                   cluster::ReadOutcome aOutcome) override;
+  void OnStoreRegained(cluster::Part aPart) override;
+  void OnDecision(const flow::Decision& aDecision) override;
+
+private:
+  struct Fetch
+  {
+    std::unique_ptr<http1::Client> mClient;
+    bool mBusy = false;
+  };
+
+  void Tick();
+  void ScheduleTick();
+  void Gossip();
+  void OnDigest(cluster::NodeIp aFrom, const cluster::Digest& aDigest);
+  void FetchPart(cluster::NodeIp aPeer, cluster::Part aPart);
+  void OnFetched(cluster::NodeIp aPeer,
+                 cluster::Part aPart,
+                 http1::Result aResult,
+                 const http1::Response& aResponse);
+  void OnReplicaChanged(cluster::Part aPart, const std::string& aWhat);
+  void UpdateGauges();
+  http1::Response Serve(const http1::Request& aRequest);
+  std::string StatusText() const;
+
+  asio::io_context& mContext;
+  NodeSettings mSettings;
+  EventLog mLog;
+  NodeMetrics mMetrics;
+  cluster::Replica mReplica;
+  cluster::GossipCore mGossip;
+  platform::StoreClient mStore;
+  cluster::StoreSync mSync;
+  DatagramSocket mSocket;
+  http1::Server mServer;
+  http1::Server mMetricsServer;
+  std::array<Fetch, cluster::kParts.size()> mFetches;
+  asio::steady_timer mTimer;
+  NodeRoleHandler* mRole = nullptr;
+  bool mPushPending = false;
+  bool mWatching = false;
+};
+
+} // namespace snipepost
--- /dev/null
+++ b/src/FlowDaemon/NodeMetrics.cpp
@@ -0,0 +1,66 @@
+#include "src/FlowDaemon/NodeMetrics.h"
+
+namespace snipepost {
+
+NodeMetrics::NodeMetrics()
+  : mPacketsIn(
+      mRegistry.AddCounter("snipepost_packets_in_total", "Packets received"))
+  , mPacketsOut(
+      mRegistry.AddCounter("snipepost_packets_out_total", "Packets sent on"))
+  , mMalformedPackets(mRegistry.AddCounter("snipepost_malformed_packets_total",
+                                           "Packets that can't be read"))
+  , mMalformedMessages(
+      mRegistry.AddCounter("snipepost_malformed_messages_total",
+                           "Messages of other instances that can't be read"))
+  , mHeartbeats(mRegistry.AddCounter("snipepost_heartbeats_total",
+                                     "Heartbeats of the backend server"))
+  , mRejectedHeartbeats(
+      mRegistry.AddCounter("snipepost_rejected_heartbeats_total",
+                           "Heartbeats that are malformed or out of date"))
+  , mStoreWrites(mRegistry.AddCounter("snipepost_store_writes_total",
+                                      "Writes sent to the store"))
+  , mPeerFetches(mRegistry.AddCounter("snipepost_peer_fetches_total",
+                                      "Parts of the state asked of a peer"))
+  , mStoreCalls(mRegistry.AddGauge("snipepost_store_reads",
+                                   "Lists and watches sent to the store"))
+  , mStoreReachable(mRegistry.AddGauge("snipepost_store_reachable",
+                                       "1 while the store answers"))
+  , mConfigVersion(mRegistry.AddGauge("snipepost_config_version",
+                                      "Version of the configuration in force"))
+  , mEvacuations(mRegistry.AddGauge("snipepost_evacuated_domains",
+                                    "Failure domains that are evacuated"))
+  , mBackends(mRegistry.AddGauge("snipepost_backend_records",
+                                 "Backend servers that are announced"))
+  , mFlows(mRegistry.AddGauge("snipepost_flows", "Flows in the table"))
+  , mLoad(mRegistry.AddGauge("snipepost_backend_load",
+                             "Requests at the backend server"))
+  , mLogLinesDropped(mRegistry.AddGauge("snipepost_log_lines_dropped",
+                                        "Log lines above the rate"))
+  , mPlacement(
+      mRegistry.AddLatency("snipepost_placement_seconds",
+                           "First opening packet until an agent took the flow"))
+  , mOpening(
+      mRegistry.AddLatency("snipepost_opening_seconds",
+                           "Opening packet until the backend server's answer"))
+{
+  for (size_t i = 0; i < kVerdicts; ++i) {
+    const auto name = flow::ToString(static_cast<flow::Verdict>(i));
+    mDecisions[i] =
+      &mRegistry.AddCounter("snipepost_decisions_total",
+                            "Decisions about flows",
+                            "verdict=\"" + std::string(name) + '"');
+  }
+}
+
+void
+NodeMetrics::OnDecision(const flow::Decision& aDecision)
+{
+  mDecisions.at(static_cast<size_t>(aDecision.mVerdict))->Add();
+  if (aDecision.mVerdict == flow::Verdict::Placed) {
+    mPlacement.Record(aDecision.mElapsed);
+  } else if (aDecision.mVerdict == flow::Verdict::Opened) {
+    mOpening.Record(aDecision.mElapsed);
+  }
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/FlowDaemon/NodeSettings.cpp
@@ -0,0 +1,141 @@
+#include "src/FlowDaemon/NodeSettings.h"
+
+#include <fstream>
+#include <iterator>
+
+namespace snipepost {
+
+namespace cluster {
+
+std::string
+Value(const std::string& aText, NodeRole& aOut)
+{
+  if (aText != "entry" && aText != "agent") {
+    return "expected entry or agent";
+  }
+  aOut = aText == "entry" ? NodeRole::Entry : NodeRole::Agent;
+  return {};
+}
+
+} // namespace cluster
+
+namespace {
+
+Schema<NodeSettings>
+MakeSchema()
+{
+  using S = NodeSettings;
+  Schema<S> schema;
+  schema.Add("role", &S::mRole, "", "What this instance does: entry or agent")
+    .Add("settings-file",
+         &S::mSettingsFile,
+         "",
+         "File with lines of the form name = value; read again on SIGHUP")
+    .Add("name", &S::mName, "", "Name of the instance in log lines")
+    .Add("failure-domain", &S::mDomain, "", "Failure domain of the instance")
+    .Add("packets", &S::mPackets, "", "UDP address where packets arrive")
+    .Add("readiness", &S::mReadiness, "", "TCP address of the readiness probe")
+    .Add("control",
+         &S::mControl,
+         "",
+         "TCP address for heartbeats of the backend server (agent)")
+    .Add("outbound",
+         &S::mOutbound,
+         "",
+         "UDP address for packets of the backend server (agent)")
+    .Add("backend",
+         &S::mBackend,
+         "",
+         "UDP address where the backend server takes packets (agent)")
+    .Add("service", &S::mService, "", "Service of the backend server (agent)")
+    .Add("seeds",
+         &S::mSeeds,
+         "",
+         "Addresses of instances to ask first; only the IP numbers count")
+    .Add("internal-port",
+         &S::mInternalPort,
+         "",
+         "UDP and TCP port of the exchange between instances")
+    .Add("metrics-port", &S::mMetricsPort, "9464", "TCP port of /metrics")
+    .Add("store", &S::mStore, "", "TCP address of the platform's store")
+    .Add("flow-limit-ms",
+         &S::mFlowLimit,
+         "60000",
+         "Longest life of a flow, milliseconds")
+    .Add("evacuation-limit-ms",
+         &S::mEvacuationLimit,
+         "5000",
+         "Time until an evacuated failure domain gets no packets, milliseconds")
+    .Add("stop-delay-ms",
+         &S::mStopDelay,
+         "3000",
+         "Time that a stopping entry instance forwards packets while the "
+         "routers notice, milliseconds")
+    .Add("log-rate",
+         &S::mLogRate,
+         "200",
+         "Log lines a second; further ones are counted only");
+  return schema;
+}
+
+std::string
+ReadFile(const std::string& aPath, std::vector<std::string>& aErrors)
+{
+  if (aPath.empty()) {
+    return {};
+  }
+  std::ifstream file(aPath);
+  if (!file) {
+    aErrors.push_back("cannot read settings file " + aPath);
+    return {};
+  }
+  return { std::istreambuf_iterator<char>(file), {} };
+}
+
+} // namespace
+
+const Schema<NodeSettings>&
+NodeSchema()
+{
+  static const Schema<NodeSettings> sSchema = MakeSchema();
+  return sSchema;
+}
+
+std::vector<std::string>
+MissingSettings(const NodeSettings& aSettings)
+{
+  std::vector<std::string> errors;
+  const auto require = [&errors](bool aThere, const char* aName) {
+    if (!aThere) {
+      errors.push_back(std::string("--") + aName + " is missing");
+    }
+  };
+  const auto isPort = [](uint64_t aPort) { return aPort > 0 && aPort < 65536; };
+  require(isPort(aSettings.mInternalPort), "internal-port");
+  require(isPort(aSettings.mMetricsPort), "metrics-port");
+  require(!aSettings.mDomain.empty(), "failure-domain");
+  if (aSettings.mRole == cluster::NodeRole::Agent) {
+    require(aSettings.mControl.has_value(), "control");
+    require(aSettings.mOutbound.has_value(), "outbound");
+    require(aSettings.mBackend.has_value(), "backend");
+    require(!aSettings.mService.empty(), "service");
+  }
+  return errors;
+}
+
+SettingsReport
+LoadNodeSettings(const std::vector<std::string>& aArguments,
+                 const Environment& aEnvironment,
+                 NodeSettings& aOut)
+{
+  std::vector<std::string> errors;
+  const std::string text = ReadFile(SettingsFilePath(aArguments), errors);
+  auto report = NodeSchema().Load(aArguments, aEnvironment, aOut, text);
+  report.mErrors.insert(report.mErrors.end(), errors.begin(), errors.end());
+  if (report.mErrors.empty() && report.mRequest != SettingsRequest::Help) {
+    report.mErrors = MissingSettings(aOut);
+  }
+  return report;
+}
+
+} // namespace snipepost
--- /dev/null
+++ b/src/Http1/Client.cpp
@@ -0,0 +1,264 @@
+#include <snipepost/Http1/Client.h>
+
+#include <array>
+#include <deque>
+
+#include <netinet/tcp.h>
+
+#include <snipepost/Net/DatagramSocket.h>
+
+#include "src/Http1/Parser.h"
+
+namespace snipepost::http1 {
+
+namespace {
+
+/// A list page of the store has at most about 1 MB.
+constexpr size_t kMaxBody = 4UL * 1024 * 1024;
+constexpr size_t kReadSize = 8192;
+
+// A connection may go silent without a reset; keep-alive probes find that out
+// within about 3 s although a watch waits for much longer.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr int kUserTimeoutMs = 2000;
+
+void
+SetOption(asio::ip::tcp::socket& aSocket, int aLevel, int aName, int aValue)
+{
+  // Without the option a call still ends by its timeout.
+  (void)setsockopt(
+    aSocket.native_handle(), aLevel, aName, &aValue, sizeof aValue);
+}
+
+void
+WatchConnection(asio::ip::tcp::socket& aSocket)
+{
+  SetOption(aSocket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetOption(aSocket, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+} // namespace
+
+std::string_view
+ToString(Result aResult)
+{
+  switch (aResult) {
+    case Result::Ok:
+      return "ok";
+    case Result::NotConnected:
+      return "not-connected";
+    case Result::TimedOut:
+      return "timed-out";
+    case Result::Broken:
+      return "broken";
+  }
+  return "invalid";
+}
+
+class Client::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+  Impl(asio::io_context& aContext, const Address& aServer)
+    : mServer(aServer)
+    , mSocket(aContext)
+    , mTimer(aContext)
+    , mParser(HTTP_RESPONSE, kMaxBody)
+  {
+  }
+
+  void Call(Request aRequest, Duration aTimeout, ResponseHandler aDone)
+  {
+    mQueue.push_back({ std::move(aRequest), aTimeout, std::move(aDone) });
+    if (!mActive) {
+      Start();
+    }
+  }
+
+  void Reset()
+  {
+    mQueue.clear();
+    mActive = false;
+    Disconnect();
+  }
+
+private:
+  struct Pending
+  {
+    Request mRequest;
+    Duration mTimeout;
+    ResponseHandler mDone;
+  };
+
+  /// Binds a handler to the present exchange: those of earlier ones, which may
+  /// still be queued in the io_context, do nothing.
+  template<typename Handler>
+  auto Guard(Handler aHandler)
+  {
+    return [self = shared_from_this(), exchange = mExchange, aHandler](
+             const asio::error_code& aError, auto... aArgs) {
+      if (exchange == self->mExchange) {
+        aHandler(*self, aError, aArgs...);
+      }
+    };
+  }
+
+  void Start()
+  {
+    mActive = true;
+    ++mExchange;
+    mTimer.expires_after(mQueue.front().mTimeout);
+    mTimer.async_wait(Guard([](Impl& aSelf, const asio::error_code& aError) {
+      if (!aError) {
+        aSelf.Finish(aSelf.mConnected ? Result::TimedOut
+                                      : Result::NotConnected);
+      }
+    }));
+    if (mConnected) {
+      Send();
+    } else {
+      Connect();
+    }
+  }
+
+  void Connect()
+  {
+    mSocket.async_connect(
+      ToTcp(mServer), Guard([](Impl& aSelf, const asio::error_code& aError) {
+        if (aError) {
+          aSelf.Finish(Result::NotConnected);
+          return;
+        }
+        aSelf.mConnected = true;
+        WatchConnection(aSelf.mSocket);
+        aSelf.Send();
+      }));
+  }
+
+  void Send()
+  {
+    const Request& request = mQueue.front().mRequest;
+    mOut = request.mMethod + ' ' + request.mPath + " HTTP/1.1\r\nHost: " +
+           ToString(mServer) + "\r\n";
+    if (!request.mBody.empty()) {
+      mOut += "Content-Type: application/json\r\n";
+    }
+    if (!request.mBody.empty() || request.mMethod != "GET") {
+      mOut +=
+        "Content-Length: " + std::to_string(request.mBody.size()) + "\r\n";
+    }
+    mOut += "\r\n" + request.mBody;
+    mParser.Restart();
+    asio::async_write(
+      mSocket,
+      asio::buffer(mOut),
+      Guard([](Impl& aSelf, const asio::error_code& aError, size_t) {
+        if (aError) {
+          aSelf.Finish(Result::Broken);
+          return;
+        }
+        aSelf.Read();
+      }));
+  }
+
+  void Read()
+  {
+    mSocket.async_read_some(
+      asio::buffer(mIn),
+      Guard([](Impl& aSelf, const asio::error_code& aError, size_t aSize) {
+        aSelf.OnRead(aError, aSize);
+      }));
+  }
+
+  void OnRead(const asio::error_code& aError, size_t aSize)
+  {
+    const bool ended = aError == asio::error::eof;
+    if (aError && !ended) {
+      Finish(Result::Broken);
+      return;
+    }
+    const bool valid =
+      ended ? mParser.FeedEnd()
+            : mParser.Feed(std::span(mIn).first(aSize));
+    if (!valid || (ended && !mParser.Complete())) {
+      Finish(Result::Broken);
+      return;
+    }
+    if (!mParser.Complete()) {
+      Read();
+      return;
+    }
+    Finish(Result::Ok);
+  }
+
+  void Finish(Result aResult)
+  {
+    ++mExchange;
+    mTimer.cancel();
+    Response response;
+    if (aResult == Result::Ok) {
+      response.mStatus = mParser.Status();
+      response.mBody = std::move(mParser.mBody);
+    }
+    if (aResult != Result::Ok || !mParser.KeepAlive()) {
+      Disconnect();
+    }
+    mActive = false;
+    const auto self = shared_from_this();
+    const ResponseHandler done = std::move(mQueue.front().mDone);
+    mQueue.pop_front();
+    done(aResult, response);
+    if (!mActive && !mQueue.empty()) {
+      Start();
+    }
+  }
+
+  void Disconnect()
+  {
+    ++mExchange;
+    mTimer.cancel();
+    asio::error_code ignored; // The connection is given up either way.
+    mSocket.close(ignored);
+    mConnected = false;
+  }
+
+  Address mServer;
+  asio::ip::tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  Parser mParser;
+  std::deque<Pending> mQueue;
+  std::array<char, kReadSize> mIn{};
+  std::string mOut;
+  uint64_t mExchange = 0;
+  bool mActive = false;
+  bool mConnected = false;
+};
+
+Client::Client(asio::io_context& aContext, const Address& aServer)
+  : mImpl(std::make_shared<Impl>(aContext, aServer))
+{
+}
+
+Client::~Client()
+{
+  mImpl->Reset();
+}
+
+void
+Client::Call(Request aRequest, Duration aTimeout, ResponseHandler aDone)
+{
+  mImpl->Call(std::move(aRequest), aTimeout, std::move(aDone));
+}
+
+void
+Client::Reset()
+{
+  mImpl->Reset();
+}
+
+} // namespace snipepost::http1
--- /dev/null
+++ b/src/Http1/Server.cpp
@@ -0,0 +1,178 @@
+#include <snipepost/Http1/Server.h>
+
+#include <array>
+
+#include <http_parser.h>
+
+#include <snipepost/Net/DatagramSocket.h>
+
+#include "src/Http1/Parser.h"
+
+namespace snipepost::http1 {
+
+namespace {
+
+constexpr size_t kMaxBody = 65536;
+constexpr size_t kReadSize = 2048;
+/// Probes, a backend server and some peers need a few connections each.
+constexpr size_t kMaxConnections = 256;
+/// A connection without a request for this long is closed.
+constexpr auto kIdleLimit = std::chrono::seconds(60);
+
+const char*
+Phrase(unsigned aStatus)
+{
+  return http_status_str(static_cast<http_status>(aStatus));
+}
+
+} // namespace
+
+class Server::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+  Impl(asio::io_context& aContext,
+       const Address& aLocal,
+       RequestHandler aHandler)
+    : mAcceptor(aContext, ToTcp(aLocal), true)
+    , mHandler(std::move(aHandler))
+  {
+  }
+
+  void Accept()
+  {
+    mAcceptor.async_accept(
+      [self = shared_from_this()](const asio::error_code& aError,
+                                  asio::ip::tcp::socket aSocket) {
+        if (!self->mAcceptor.is_open()) {
+          return;
+        }
+        if (!aError && self->mConnections < kMaxConnections) {
+          std::make_shared<Session>(self, std::move(aSocket))->Read();
+        }
+        self->Accept();
+      });
+  }
+
+  void Close()
+  {
+    asio::error_code ignored; // The listener goes away either way.
+    mAcceptor.close(ignored);
+    mHandler = nullptr;
+  }
+
+  Address Local() const
+  {
+    const auto endpoint = mAcceptor.local_endpoint();
+    return { endpoint.address().to_v4().to_uint(), endpoint.port() };
+  }
+
+private:
+  class Session : public std::enable_shared_from_this<Session>
+  {
+  public:
+    Session(std::shared_ptr<Impl> aServer, asio::ip::tcp::socket aSocket)
+      : mServer(std::move(aServer))
+      , mSocket(std::move(aSocket))
+      , mTimer(mSocket.get_executor())
+      , mParser(HTTP_REQUEST, kMaxBody)
+    {
+      ++mServer->mConnections;
+    }
+
+    ~Session() { --mServer->mConnections; }
+    Session(const Session&) = delete;
+    Session& operator=(const Session&) = delete;
+
+    void Read()
+    {
+      mTimer.expires_after(kIdleLimit);
+      mTimer.async_wait(
+        [self = weak_from_this()](const asio::error_code& aError) {
+          const auto session = self.lock();
+          if (!aError && session) {
+            asio::error_code ignored; // Closing is all that is wanted.
+            session->mSocket.close(ignored);
+          }
+        });
+      mSocket.async_read_some(
+        asio::buffer(mIn),
+        [self = shared_from_this()](const asio::error_code& aError,
+                                    size_t aSize) {
+          if (!aError) {
+            self->OnRead(aSize);
+          }
+        });
+    }
+
+  private:
+    void OnRead(size_t aSize)
+    {
+      if (!mParser.Feed(std::span(mIn).first(aSize))) {
+        return; // Malformed: the session ends and closes.
+      }
+      if (!mParser.Complete()) {
+        Read();
+        return;
+      }
+      if (mServer->mHandler) {
+        Answer();
+      }
+    }
+
+    void Answer()
+    {
+      const Request request{ mParser.Method(),
+                             std::move(mParser.mTarget),
+                             std::move(mParser.mBody) };
+      const Response response = mServer->mHandler(request);
+      mOut = "HTTP/1.1 " + std::to_string(response.mStatus) + ' ' +
+             Phrase(response.mStatus) +
+             "\r\nContent-Type: " + response.mContentType +
+             "\r\nContent-Length: " + std::to_string(response.mBody.size()) +
+             "\r\n\r\n" + response.mBody;
+      const bool keep = mParser.KeepAlive();
+      mParser.Restart();
+      asio::async_write(
+        mSocket,
+        asio::buffer(mOut),
+        [self = shared_from_this(), keep](const asio::error_code& aError,
+                                          size_t) {
+          if (!aError && keep) {
+            self->Read();
+          }
+        });
+    }
+
+    std::shared_ptr<Impl> mServer;
+    asio::ip::tcp::socket mSocket;
+    asio::steady_timer mTimer;
+    Parser mParser;
+    std::array<char, kReadSize> mIn{};
+    std::string mOut;
+  };
+
+  asio::ip::tcp::acceptor mAcceptor;
+  RequestHandler mHandler;
+  size_t mConnections = 0;
+};
+
+Server::Server(asio::io_context& aContext,
+               const Address& aLocal,
+               RequestHandler aHandler)
+  : mImpl(std::make_shared<Impl>(aContext, aLocal, std::move(aHandler)))
+{
+  mImpl->Accept();
+}
+
+Server::~Server()
+{
+  mImpl->Close();
+}
+
+Address
+Server::Local() const
+{
+  return mImpl->Local();
+}
+
+} // namespace snipepost::http1
--- a/src/Net/DatagramSocket.cpp
+++ b/src/Net/DatagramSocket.cpp
@@ -70,8 +70,9 @@
 DatagramSocket::DatagramSocket(asio::io_context& aContext,
                                const Address& aLocal)
   : mSocket(aContext, ToUdp(aLocal))
-  , mIn(std::make_unique<Batch>())
-  , mOut(std::make_unique<Batch>())
+  // Left uninitialised: pages that no burst ever needs are not touched.
+  , mIn(std::make_unique_for_overwrite<Batch>())
+  , mOut(std::make_unique_for_overwrite<Batch>())
 {
   mSocket.non_blocking(true);
   asio::error_code ignored; // The kernel may grant less.
--- a/src/Settings/Schema.cpp
+++ b/src/Settings/Schema.cpp
@@ -29,6 +29,8 @@
   switch (aSource) {
     case SettingSource::Default:
       return "default";
+    case SettingSource::File:
+      return "file";
     case SettingSource::Environment:
       return "environment";
     case SettingSource::Flag:
@@ -77,8 +79,35 @@
   return flags;
 }
 
+po::variables_map
+ParseFile(const std::vector<SettingSpec>& aSpecs,
+          const std::string& aText,
+          std::vector<std::string>& aErrors)
+{
+  po::variables_map values;
+  const auto description = Describe(aSpecs);
+  try {
+    std::istringstream text(aText);
+    po::store(po::parse_config_file(text, description, true), values);
+  } catch (const po::error& error) {
+    aErrors.emplace_back(std::string("settings file: ") + error.what());
+  }
+  return values;
+}
+
 } // namespace
 
+std::string
+SettingsFilePath(const std::vector<std::string>& aArguments)
+{
+  const auto flag =
+    std::find(aArguments.begin(), aArguments.end(), "--settings-file");
+  if (flag == aArguments.end() || std::next(flag) == aArguments.end()) {
+    return {};
+  }
+  return *std::next(flag);
+}
+
 Environment
 ProcessEnvironment()
 {
@@ -163,17 +192,6 @@
   return error;
 }
 
-std::string
-Value(const std::string& aText, std::optional<SecretKey>& aOut)
-{
-  aOut.reset();
-  if (aText.empty()) {
-    return {};
-  }
-  aOut = ParseSecretKey(aText);
-  return aOut ? "" : "expected 32 hexadecimal digits";
-}
-
 std::string
 Value(const std::string& aText, std::chrono::milliseconds& aOut)
 {
@@ -238,9 +256,11 @@
   const std::vector<SettingSpec>& aSpecs,
   const std::vector<std::string>& aArguments,
   const Environment& aEnvironment,
-  const std::function<std::string(size_t, const std::string&)>& aAssign)
+  const std::function<std::string(size_t, const std::string&)>& aAssign,
+  const std::string& aFileText)
 {
   SettingsReport report;
+  const auto file = ParseFile(aSpecs, aFileText, report.mErrors);
   const auto flags = ParseFlags(aSpecs, aArguments, report.mErrors);
   if (flags.count("check")) {
     report.mRequest = SettingsRequest::Check;
@@ -254,6 +274,10 @@
     EffectiveSetting setting{ spec.mName,
                               spec.mDefault,
                               SettingSource::Default };
+    if (file.count(spec.mName)) {
+      setting.mValue = file[spec.mName].as<std::string>();
+      setting.mSource = SettingSource::File;
+    }
     if (auto value = aEnvironment(EnvironmentName(spec.mName))) {
       setting.mValue = *value;
       setting.mSource = SettingSource::Environment;
