Flow: openings hold load for 60 ms, repeated offers have a budget

An opening that its caller answered at another agent counted as load for 1.5 s. Late replies of saturated entry processors led to second offers, these to phantom load, this to refusals and more offers. Ruled out: capacity of the backend servers (0.5 of it used before the burst), the placement code (3.3 us a flow in a loop of 100,000). Change: an opening counts for 60 ms; offers repeated for want of a reply take from a budget of a tenth; at most two offers ask for a free slot; sockets are drained before a timeout is judged; replies share the packet socket; timers are shared. Conclusion: the load that an agent reports must be only what may still come.

--- a/include/snipepost/Cluster/GossipCore.h
+++ b/include/snipepost/Cluster/GossipCore.h
@@ -108,7 +108,9 @@
   /// Peers to tell at once that the own copy changed.
   std::vector<NodeIp> PushTargets(const Replica& aReplica);
 
-  Digest Compose(const Replica& aReplica, Instant aNow, bool aReplyWanted) const;
+  Digest Compose(const Replica& aReplica,
+                 Instant aNow,
+                 bool aReplyWanted) const;
 
   /// Whether this node is to watch the store now. Called at least once a
   /// round.
--- a/include/snipepost/Cluster/Replica.h
+++ b/include/snipepost/Cluster/Replica.h
@@ -95,7 +95,10 @@
   std::string EncodeSnapshot(Part aPart) const;
   static std::optional<Snapshot> DecodeSnapshot(std::string_view aText);
 
-  PartVersion Version(Part aPart) const { return mParts[Index(aPart)].mVersion; }
+  PartVersion Version(Part aPart) const
+  {
+    return mParts[Index(aPart)].mVersion;
+  }
   bool Known(Part aPart) const { return Version(aPart).mKnown; }
   /// True when every part is known.
   bool Complete() const;
--- a/include/snipepost/Flow/AgentCore.h
+++ b/include/snipepost/Flow/AgentCore.h
@@ -146,6 +146,10 @@
   void TellOwned(const FlowId& aId, AgentFlow& aFlow);
   bool ChosenByCaller(const AgentFlow& aFlow, const Packet& aPacket) const;
   void SetBusy(AgentFlow& aFlow, bool aBusy, Instant aNow);
+  /// Ends the load of openings that no packet of the caller followed.
+  void ReleaseOpenings(Instant aNow);
+  /// Forgets deadlines of opening packets that were answered.
+  void DropAnswered();
   void Erase(Flows::iterator aFlow);
   void EndFlows();
   bool PassesEvacuation(Instant aNow);
@@ -171,6 +175,8 @@
   uint32_t mLoad = 0;
   Duration mServiceTime;
   std::deque<PendingAnswer> mPending;
+  /// Openings that count as load until a deadline.
+  std::deque<PendingAnswer> mOpenings;
   /// Opening packets in a row that the backend server did not answer.
   uint32_t mUnanswered = 0;
   Instant mNextTrial;
--- a/include/snipepost/Flow/EntryCore.h
+++ b/include/snipepost/Flow/EntryCore.h
@@ -3,11 +3,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include <snipepost/Admission/RetryBudget.h>
 #include <snipepost/Base/Types.h>
 #include <snipepost/Cluster/Replica.h>
 #include <snipepost/Flow/Candidates.h>
@@ -160,6 +162,9 @@
               Refusal aRefusal,
               std::string_view aReason,
               Instant aNow);
+  void SetDeadline(const FlowId& aId,
+                   EntryFlow& aFlow,
+                   std::optional<Instant> aDeadline);
   EntryFlow& AddFlow(const FlowId& aId, Instant aNow);
 
   std::string mDomain;
@@ -172,8 +177,9 @@
   std::map<std::string, Servers> mServers;
   std::unordered_map<Address, AgentView> mViews;
   Flows mFlows;
+  RetryBudget mRepeatBudget;
   /// Flows with an offer that waits, by deadline.
-  std::multimap<Instant, FlowId> mDeadlines;
+  std::set<std::pair<Instant, FlowId>> mDeadlines;
 };
 
 } // namespace snipepost::flow
--- a/include/snipepost/Flow/Packet.h
+++ b/include/snipepost/Flow/Packet.h
@@ -27,10 +27,9 @@
   Locate = 1,
   /// Opening packets: take the flow only when a slot is free.
   OfferFree = 2,
-  /// Opening packets: take the flow when it is served within its objective.
-  OfferQueue = 3,
-  /// Opening packets: take the flow unless the backend server can't hold it.
-  OfferLast = 4,
+  /// Opening packets: no other agent has a free slot; take the flow when it
+  /// can be served in time.
+  OfferLast = 3,
 };
 
 /// The header of a packet, decoded by the platform adapter.
--- a/include/snipepost/Net/DatagramSocket.h
+++ b/include/snipepost/Net/DatagramSocket.h
@@ -53,6 +53,10 @@
   /// Starts to deliver datagrams to aHandler, which outlives the socket.
   void Start(DatagramHandler& aHandler);
 
+  /// Delivers what is waiting now. Used before a timeout is judged: after a
+  /// pause of the process, the answer may lie unread in the socket.
+  void Drain() { Receive(); }
+
   /// A buffer of kMaxDatagram bytes for the next datagram; Commit() queues it.
   std::span<uint8_t> Reserve();
   void Commit(size_t aLength, const Address& aTo);
--- a/src/Cluster/BackendRecord.cpp
+++ b/src/Cluster/BackendRecord.cpp
@@ -93,9 +93,9 @@
       *slots > std::numeric_limits<uint32_t>::max()) {
     return std::nullopt;
   }
-  return BackendRecord{ *service, *address, *domain,
-                        *state,   static_cast<uint32_t>(*slots),
-                        *born };
+  return BackendRecord{
+    *service, *address, *domain, *state, static_cast<uint32_t>(*slots), *born
+  };
 }
 
 } // namespace snipepost::cluster
--- a/src/Cluster/Replica.cpp
+++ b/src/Cluster/Replica.cpp
@@ -23,8 +23,7 @@
   const json::value* name = object->if_contains("name");
   const json::value* revision = object->if_contains("revision");
   const json::value* text = object->if_contains("text");
-  if (!name || !name->is_string() || !revision || !text ||
-      !text->is_string()) {
+  if (!name || !name->is_string() || !revision || !text || !text->is_string()) {
     return std::nullopt;
   }
   json::error_code error;
@@ -63,8 +62,7 @@
 Replica::ApplySnapshot(Part aPart, const Snapshot& aSnapshot)
 {
   PartState& part = mParts[Index(aPart)];
-  if (part.mVersion.mKnown &&
-      aSnapshot.mRevision < part.mVersion.mRevision) {
+  if (part.mVersion.mKnown && aSnapshot.mRevision < part.mVersion.mRevision) {
     return false;
   }
   std::unordered_set<std::string_view> present;
@@ -233,9 +231,9 @@
 bool
 Replica::Complete() const
 {
-  return std::ranges::all_of(kParts, [this](Part aPart) {
-    return Known(aPart);
-  }) && mRoutes->mVersion != ConfigVersion();
+  return std::ranges::all_of(kParts,
+                             [this](Part aPart) { return Known(aPart); }) &&
+         mRoutes->mVersion != ConfigVersion();
 }
 
 bool
--- a/src/Cluster/StoreSync.cpp
+++ b/src/Cluster/StoreSync.cpp
@@ -88,9 +88,8 @@
   mParts[Index(aPart)].mBusy = true;
   mProbing = true;
   ++mCalls;
-  mStore.List(aPart, [this, aPart](ListResult aResult) {
-    OnList(aPart, aResult);
-  });
+  mStore.List(aPart,
+              [this, aPart](ListResult aResult) { OnList(aPart, aResult); });
 }
 
 void
@@ -117,10 +116,10 @@
   state.mBusy = true;
   state.mWatching = true;
   ++mCalls;
-  mStore.Watch(
-    aPart, state.mRevision, kWatchWait, [this, aPart](WatchResult aResult) {
-      OnWatch(aPart, aResult);
-    });
+  mStore.Watch(aPart,
+               state.mRevision,
+               kWatchWait,
+               [this, aPart](WatchResult aResult) { OnWatch(aPart, aResult); });
 }
 
 void
--- a/src/Flow/AdmissionGate.cpp
+++ b/src/Flow/AdmissionGate.cpp
@@ -34,18 +34,11 @@
   if (aInputs.mLoad < slots) {
     return Refusal::None;
   }
+  if (aInputs.mMark == TransitMark::OfferFree) {
+    return Refusal::Busy;
+  }
   const Duration wait =
     ExpectedWait(aInputs.mLoad, slots, aInputs.mServiceTime);
-  switch (aInputs.mMark) {
-    case TransitMark::OfferFree:
-      return Refusal::Busy;
-    case TransitMark::OfferQueue:
-      return wait > aInputs.mObjective / 4 ? Refusal::Busy : Refusal::None;
-    case TransitMark::OfferLast:
-    case TransitMark::Owner:
-    case TransitMark::Locate:
-      break;
-  }
   return wait > LongestWait(aInputs) ? Refusal::Full : Refusal::None;
 }
 
--- a/src/Flow/AgentCore.cpp
+++ b/src/Flow/AgentCore.cpp
@@ -13,6 +13,10 @@
 /// the time between trials then.
 constexpr uint32_t kSilentAfter = 3;
 constexpr Duration kTrialInterval = std::chrono::milliseconds(100);
+/// An opening counts as load for this long without a packet of the caller,
+/// about the way to the caller and back. The caller may have chosen another
+/// backend server, whose answer came first.
+constexpr Duration kOpeningLoad = std::chrono::milliseconds(60);
 /// Callers give up an opening after 1.4 s.
 constexpr Duration kOpeningLimit = std::chrono::milliseconds(1500);
 /// Longest retransmission interval of both ends, for packets after the end.
@@ -87,7 +91,11 @@
   }
   flow.mLastSeen = aNow;
   flow.mEntry = aFrom;
-  flow.mOpen = flow.mOpen || !flow.mTentative;
+  if (!flow.mOpen && !flow.mTentative) {
+    // The request follows; the opening may no longer have counted.
+    flow.mOpen = true;
+    SetBusy(flow, true, aNow);
+  }
   flow.mCallerFin = flow.mCallerFin || aPacket.mFin;
   if (aPacket.mLength > 0 && !flow.mBusy) {
     SetBusy(flow, true, aNow);
@@ -227,6 +235,7 @@
     }
     Erase(found);
   }
+  ReleaseOpenings(aNow);
   const Refusal refusal = Judge(aPacket, aNow);
   if (refusal != Refusal::None) {
     Reply(aFrom, id, aPacket.mSequence, 0, refusal, aNow);
@@ -252,6 +261,7 @@
   SetBusy(flow, true, aNow);
   mStatus.OnTaken(aNow);
   mPending.push_back({ aNow + kAnswerTimeout, id, aPacket.mSequence });
+  mOpenings.push_back({ aNow + kOpeningLoad, id, aPacket.mSequence });
   mOutput.SendToBackend(aBytes);
 }
 
@@ -324,6 +334,7 @@
           aPacket.mSequence,
           Refusal::None,
           aNow);
+    DropAnswered();
     if (!repeated) {
       Decide(Verdict::Opened,
              aId,
@@ -339,8 +350,7 @@
     aFlow.mAnswered = true;
     TellOwned(aId, aFlow);
   }
-  const bool answers =
-    aPacket.mLength > 0 || aPacket.mFin || aPacket.mReset;
+  const bool answers = aPacket.mLength > 0 || aPacket.mFin || aPacket.mReset;
   if (answers && aFlow.mBusy) {
     if (mLoad <= mStatus.Slots() && aFlow.mOpen) {
       mServiceTime = (mServiceTime * 15 + (aNow - aFlow.mBusySince)) / 16;
@@ -414,6 +424,7 @@
   }
   mLoad = 0;
   mPending.clear();
+  mOpenings.clear();
 }
 
 bool
@@ -431,6 +442,18 @@
   return mPending.front().mDeadline;
 }
 
+void
+AgentCore::DropAnswered()
+{
+  while (!mPending.empty()) {
+    const auto found = mFlows.find(mPending.front().mFlow);
+    if (found != mFlows.end() && !found->second.mAnswered) {
+      return;
+    }
+    mPending.pop_front();
+  }
+}
+
 void
 AgentCore::OnTimer(Instant aNow)
 {
@@ -478,15 +501,30 @@
   mFlows.erase(aFlow);
 }
 
+void
+AgentCore::ReleaseOpenings(Instant aNow)
+{
+  while (!mOpenings.empty() && mOpenings.front().mDeadline <= aNow) {
+    const PendingAnswer& opening = mOpenings.front();
+    const auto found = mFlows.find(opening.mFlow);
+    if (found != mFlows.end() && !found->second.mOpen &&
+        found->second.mCallerSequence == opening.mCallerSequence) {
+      SetBusy(found->second, false, aNow);
+    }
+    mOpenings.pop_front();
+  }
+}
+
 void
 AgentCore::Expire(Instant aNow)
 {
+  ReleaseOpenings(aNow);
   const Duration idle = mReplica.Routes()->mIdleTimeout;
   for (auto at = mFlows.begin(); at != mFlows.end();) {
     AgentFlow& flow = at->second;
     const Duration silence = aNow - flow.mLastSeen;
-    if (flow.mBusy && aNow - flow.mBusySince >
-                        (flow.mOpen ? kBusyLimit : kOpeningLimit)) {
+    if (flow.mBusy &&
+        aNow - flow.mBusySince > (flow.mOpen ? kBusyLimit : kOpeningLimit)) {
       SetBusy(flow, false, aNow);
     }
     Duration memory = idle;
--- a/src/Flow/EntryCore.cpp
+++ b/src/Flow/EntryCore.cpp
@@ -19,10 +19,16 @@
 constexpr uint32_t kNarrowLocates = 2;
 /// Packets by which a flow is looked for before it counts as gone.
 constexpr uint32_t kMaxLocates = 24;
-constexpr size_t kMaxOffers = 8;
 /// Offers that only a free slot accepts. More of them would cost the path to
-/// yet another failure domain for each.
+/// yet another failure domain for each, and two packets of both instances when
+/// all are busy and processors are short.
 constexpr size_t kFreeOffers = 2;
+/// Offers in all, for agents that are full or that do not answer.
+constexpr size_t kMaxOffers = 5;
+/// Offers beyond the unanswered ones: at most this share of all offers in the
+/// long run. When replies are late because processors are short, repeating
+/// offers would multiply the load that delays them.
+constexpr RetryOptions kRepeatedOffers{ 0.1, 40.0 };
 
 /// Wait for the reply to an offer: a handshake takes 0.3 ms, the path to
 /// another failure domain and back about 8 ms.
@@ -82,16 +88,6 @@
          aRefusal == Refusal::Cold;
 }
 
-TransitMark
-MarkFor(size_t aAttempt, size_t aCandidatesLeft)
-{
-  if (aCandidatesLeft <= 1) {
-    return TransitMark::OfferLast;
-  }
-  return aAttempt < kFreeOffers ? TransitMark::OfferFree
-                                : TransitMark::OfferQueue;
-}
-
 } // namespace
 
 EntryCore::EntryCore(std::string aDomain,
@@ -103,6 +99,7 @@
   , mOutput(aOutput)
   , mDecisions(aDecisions)
   , mRoutes(aReplica.Routes())
+  , mRepeatBudget(kRepeatedOffers)
 {
   RebuildServers();
 }
@@ -118,8 +115,7 @@
   }
   const FlowId id = IdOf(aPacket);
   const auto found = mFlows.find(id);
-  EntryFlow& flow =
-    found == mFlows.end() ? AddFlow(id, aNow) : found->second;
+  EntryFlow& flow = found == mFlows.end() ? AddFlow(id, aNow) : found->second;
   flow.mLastSeen = aNow;
   flow.mClosing = flow.mClosing || aPacket.mFin || aPacket.mReset;
   Continue(id, flow, aPacket, aBytes, aNow);
@@ -132,6 +128,7 @@
     mFlows.erase(mFlows.begin());
   }
   EntryFlow& flow = mFlows[aId];
+  SetDeadline(aId, flow, std::nullopt);
   flow = EntryFlow();
   flow.mOpenedAt = aNow;
   flow.mLastSeen = aNow;
@@ -161,6 +158,7 @@
   flow.mCallerSequence = aPacket.mSequence;
   flow.mPacket = aPacket;
   flow.mOpening.assign(aBytes.begin(), aBytes.end());
+  mRepeatBudget.OnRequest();
   MakeOffer(id, flow, aNow);
 }
 
@@ -271,7 +269,7 @@
 void
 EntryCore::MakeOffer(const FlowId& aId, EntryFlow& aFlow, Instant aNow)
 {
-  aFlow.mDeadline.reset();
+  SetDeadline(aId, aFlow, std::nullopt);
   const auto route = mRoutes->mRoutes.find(aId.mService);
   if (route == mRoutes->mRoutes.end()) {
     Reject(aId, aFlow, "route-removed", aNow);
@@ -279,12 +277,20 @@
   }
   const std::string& service = ServiceOf(route->second, aId);
   const auto candidates = OpenCandidates(aId, aFlow, service);
-  const auto best = aFlow.mOffers.size() < kMaxOffers
-                      ? BestCandidate(candidates, aNow)
-                      : std::nullopt;
+  const size_t made = aFlow.mOffers.size();
+  // Enough agents were busy: the least loaded of them is asked to queue.
+  if (made >= kFreeOffers && OfferToBusy(aId, aFlow, service, aNow)) {
+    return;
+  }
+  const auto best =
+    made < kMaxOffers ? BestCandidate(candidates, aNow) : std::nullopt;
   if (best) {
-    const TransitMark mark = MarkFor(aFlow.mOffers.size(), candidates.size());
-    SendOffer(aId, aFlow, candidates[*best], mark, aNow);
+    const bool last = made >= kFreeOffers || candidates.size() == 1;
+    SendOffer(aId,
+              aFlow,
+              candidates[*best],
+              last ? TransitMark::OfferLast : TransitMark::OfferFree,
+              aNow);
     return;
   }
   if (!OfferToBusy(aId, aFlow, service, aNow)) {
@@ -315,8 +321,8 @@
   if (servers == mServers.end()) {
     return false;
   }
-  const auto record = std::ranges::find(
-    servers->second, agent, &cluster::BackendRecord::mAgent);
+  const auto record =
+    std::ranges::find(servers->second, agent, &cluster::BackendRecord::mAgent);
   if (record == servers->second.end()) {
     return false;
   }
@@ -349,12 +355,9 @@
   AgentView& view = mViews[agent];
   aFlow.mOffers.push_back(
     { agent, aNow, OfferState::Waiting, Refusal::None, aMark, 0, 0.0 });
-  aFlow.mDeadline = aNow + ReplyTimeout(aCandidate);
-  mDeadlines.emplace(*aFlow.mDeadline, aId);
-  mOutput.SendToAgent(aFlow.mOpening,
-                      agent,
-                      ServiceTag(aCandidate.mRecord->mService),
-                      aMark);
+  SetDeadline(aId, aFlow, aNow + ReplyTimeout(aCandidate));
+  mOutput.SendToAgent(
+    aFlow.mOpening, agent, ServiceTag(aCandidate.mRecord->mService), aMark);
   Decide(Verdict::Offered, aId, aFlow, agent, Refusal::None, {}, aNow);
   view.mLoad = LoadNow(view, aNow) + 1.0;
   view.mLoadAt = aNow;
@@ -363,8 +366,8 @@
 void
 EntryCore::GiveUp(const FlowId& aId, EntryFlow& aFlow, Instant aNow)
 {
-  const bool undecided = std::ranges::any_of(
-    aFlow.mOffers, [](const Offer& aOffer) {
+  const bool undecided =
+    std::ranges::any_of(aFlow.mOffers, [](const Offer& aOffer) {
       return aOffer.mState == OfferState::Waiting ||
              aOffer.mState == OfferState::Late ||
              aOffer.mState == OfferState::Taken || MayPass(aOffer.mRefusal);
@@ -449,7 +452,7 @@
     if (!flow.mOwner) {
       flow.mOwner = offer->mAgent;
     }
-    flow.mDeadline.reset();
+    SetDeadline(aReply.mFlow, flow, std::nullopt);
     Decide(Verdict::Placed,
            aReply.mFlow,
            flow,
@@ -611,6 +614,20 @@
   });
 }
 
+void
+EntryCore::SetDeadline(const FlowId& aId,
+                       EntryFlow& aFlow,
+                       std::optional<Instant> aDeadline)
+{
+  if (aFlow.mDeadline) {
+    mDeadlines.erase({ *aFlow.mDeadline, aId });
+  }
+  aFlow.mDeadline = aDeadline;
+  if (aDeadline) {
+    mDeadlines.emplace(*aDeadline, aId);
+  }
+}
+
 std::optional<Instant>
 EntryCore::NextDeadline() const
 {
@@ -624,12 +641,13 @@
 EntryCore::OnTimer(Instant aNow)
 {
   while (!mDeadlines.empty() && mDeadlines.begin()->first <= aNow) {
-    const auto [deadline, id] = *mDeadlines.begin();
+    const FlowId id = mDeadlines.begin()->second;
     mDeadlines.erase(mDeadlines.begin());
     const auto found = mFlows.find(id);
-    if (found == mFlows.end() || found->second.mDeadline != deadline) {
-      continue; // Answered meanwhile.
+    if (found == mFlows.end()) {
+      continue;
     }
+    found->second.mDeadline.reset();
     EntryFlow& flow = found->second;
     Offer& offer = flow.mOffers.back();
     offer.mState = OfferState::Late;
@@ -640,14 +658,11 @@
       view.mAvoidUntil =
         aNow + std::min(kFirstAvoid * (1U << doublings), kLongestAvoid);
     }
-    Decide(Verdict::Unanswered,
-           id,
-           flow,
-           offer.mAgent,
-           Refusal::None,
-           {},
-           aNow);
-    MakeOffer(id, flow, aNow);
+    Decide(
+      Verdict::Unanswered, id, flow, offer.mAgent, Refusal::None, {}, aNow);
+    if (mRepeatBudget.TryRetry()) {
+      MakeOffer(id, flow, aNow);
+    }
   }
 }
 
--- a/src/Flow/NodeMessage.cpp
+++ b/src/Flow/NodeMessage.cpp
@@ -128,8 +128,8 @@
   cluster::Digest digest;
   const uint8_t flags = aIn.U8();
   digest.mReplyWanted = (flags & kReplyWanted) != 0;
-  digest.mRole = (flags & kAgentRole) ? cluster::NodeRole::Agent
-                                      : cluster::NodeRole::Entry;
+  digest.mRole =
+    (flags & kAgentRole) ? cluster::NodeRole::Agent : cluster::NodeRole::Entry;
   for (cluster::PartVersion& part : digest.mParts) {
     part.mKnown = aIn.U8() == 1;
     part.mRevision = cluster::Revision(aIn.U64());
--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -25,11 +25,7 @@
 
 AgentNode::AgentNode(asio::io_context& aContext, Node& aNode)
   : mNode(aNode)
-  , mCore(OptionsOf(aNode.Settings()),
-          aNode.State(),
-          *this,
-          aNode,
-          aNode.Now())
+  , mCore(OptionsOf(aNode.Settings()), aNode.State(), *this, aNode, aNode.Now())
   , mPublisher(cluster::RecordName(aNode.Settings().mPackets),
                aNode.Settings().mPackets.mIp)
   , mBackendPackets(*this)
@@ -46,7 +42,11 @@
               const bool known = platform::IsReadinessProbe(aRequest);
               return http1::Response{ known ? 200U : 404U, {} };
             })
-  , mTimer(aContext)
+  , mDeadlines(aContext, [this] {
+    mBackendSocket.Drain();
+    mCore.OnTimer(mNode.Now());
+    Finish();
+  })
 {
   mSocket.Start(*this);
   mBackendSocket.Start(mBackendPackets);
@@ -77,9 +77,9 @@
   }
   if (const auto* departure = std::get_if<platform::Departure>(&call)) {
     const bool current = mCore.OnDeregister(departure->mId);
-    mNode.Log().Write("backend-left",
-                      { { "id", departure->mId },
-                        { "current", current ? "yes" : "no" } });
+    mNode.Log().Write(
+      "backend-left",
+      { { "id", departure->mId }, { "current", current ? "yes" : "no" } });
     Announce();
   } else if (const auto* heartbeat = std::get_if<flow::Heartbeat>(&call)) {
     OnHeartbeat(*heartbeat);
@@ -96,14 +96,13 @@
     return;
   }
   const bool draining = aHeartbeat.mState == cluster::BackendState::Draining;
-  mNode.Log().Write(
-    "heartbeat",
-    { { "outcome", std::string(flow::ToString(outcome)) },
-      { "id", aHeartbeat.mId },
-      { "service", aHeartbeat.mService },
-      { "state", draining ? "draining" : "ready" },
-      { "sequence", std::to_string(aHeartbeat.mSequence) },
-      { "born", std::to_string(aHeartbeat.mBorn) } });
+  mNode.Log().Write("heartbeat",
+                    { { "outcome", std::string(flow::ToString(outcome)) },
+                      { "id", aHeartbeat.mId },
+                      { "service", aHeartbeat.mService },
+                      { "state", draining ? "draining" : "ready" },
+                      { "sequence", std::to_string(aHeartbeat.mSequence) },
+                      { "born", std::to_string(aHeartbeat.mBorn) } });
   if (outcome == flow::HeartbeatOutcome::Outdated ||
       outcome == flow::HeartbeatOutcome::OtherService) {
     mNode.Metrics().mRejectedHeartbeats.Add();
@@ -136,7 +135,8 @@
 AgentNode::ObserveRecord()
 {
   const auto version = mNode.State().Version(cluster::Part::Backends);
-  if (version.mKnown) {
+  if (version.mKnown && version != mObserved) {
+    mObserved = version;
     mPublisher.Observe(
       version.mRevision,
       mNode.State().Stored(cluster::Part::Backends, mPublisher.Name()));
@@ -189,8 +189,7 @@
     mNode.Metrics().mMalformedPackets.Add();
     return;
   }
-  mCore.OnNodePacket(
-    *packet, aBytes, cluster::NodeIp(aFrom.mIp), mNode.Now());
+  mCore.OnNodePacket(*packet, aBytes, cluster::NodeIp(aFrom.mIp), mNode.Now());
 }
 
 void
@@ -225,25 +224,7 @@
   mSocket.Flush();
   mBackendSocket.Flush();
   mNode.Flush();
-  ArmTimer();
-}
-
-void
-AgentNode::ArmTimer()
-{
-  const auto deadline = mCore.NextDeadline();
-  if (!deadline || deadline == mArmedFor) {
-    return;
-  }
-  mArmedFor = deadline;
-  mTimer.expires_after(*deadline - mNode.Now());
-  mTimer.async_wait([this](const asio::error_code& aError) {
-    if (!aError) {
-      mArmedFor.reset();
-      mCore.OnTimer(mNode.Now());
-      Finish();
-    }
-  });
+  mDeadlines.Arm(mCore.NextDeadline(), mNode.Now());
 }
 
 void
@@ -254,8 +235,7 @@
 }
 
 void
-AgentNode::SendToCaller(std::span<const uint8_t> aBytes,
-                        const Address& aCaller)
+AgentNode::SendToCaller(std::span<const uint8_t> aBytes, const Address& aCaller)
 {
   mSocket.Send(aBytes, { aCaller.mIp, mNode.Settings().mPackets.mPort });
   mNode.Metrics().mPacketsOut.Add();
@@ -265,20 +245,28 @@
 AgentNode::SendReset(const flow::Packet& aPacket)
 {
   const auto reset = platform::EncodeReset(aPacket);
-  mSocket.Send(reset,
-               { aPacket.mSource.mIp, mNode.Settings().mPackets.mPort });
+  mSocket.Send(reset, { aPacket.mSource.mIp, mNode.Settings().mPackets.mPort });
 }
 
 void
 AgentNode::SendToNode(cluster::NodeIp aNode, const flow::OfferReply& aReply)
 {
-  mNode.Send(aNode, aReply);
+  SendMessage(aNode, aReply);
 }
 
 void
 AgentNode::SendToNode(cluster::NodeIp aNode, const flow::OwnerNotice& aNotice)
 {
-  mNode.Send(aNode, aNotice);
+  SendMessage(aNode, aNotice);
+}
+
+void
+AgentNode::SendMessage(cluster::NodeIp aNode, const flow::NodeMessage& aMessage)
+{
+  // Over the packet socket, so that it leaves with the packets in one system
+  // call and arrives with others in one wake-up.
+  const auto bytes = flow::EncodeMessage(aMessage);
+  mSocket.Send(bytes, { aNode.Value(), mNode.Settings().mPackets.mPort });
 }
 
 } // namespace snipepost
--- a/src/FlowDaemon/AgentNode.h
+++ b/src/FlowDaemon/AgentNode.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <optional>
-
 #include <asio.hpp>
 
 #include <snipepost/Cluster/RecordPublisher.h>
@@ -9,6 +7,7 @@
 #include <snipepost/Http1/Server.h>
 #include <snipepost/Net/DatagramSocket.h>
 
+#include "src/FlowDaemon/DeadlineTimer.h"
 #include "src/FlowDaemon/Node.h"
 
 namespace snipepost {
@@ -62,24 +61,25 @@
     AgentNode& mAgent;
   };
 
+  void SendMessage(cluster::NodeIp aNode, const flow::NodeMessage& aMessage);
   http1::Response OnControlCall(const http1::Request& aRequest);
   void OnHeartbeat(const flow::Heartbeat& aHeartbeat);
   void Announce();
   void ObserveRecord();
   void PublishRecord();
   void Finish();
-  void ArmTimer();
 
   Node& mNode;
   flow::AgentCore mCore;
   cluster::RecordPublisher mPublisher;
+  /// Version of the records that the publisher was shown last.
+  cluster::PartVersion mObserved;
   BackendPackets mBackendPackets;
   DatagramSocket mSocket;
   DatagramSocket mBackendSocket;
   http1::Server mControl;
   http1::Server mProbes;
-  asio::steady_timer mTimer;
-  std::optional<Instant> mArmedFor;
+  DeadlineTimer mDeadlines;
   Instant mNextExpiry;
   bool mStopping = false;
 };
--- a/src/FlowDaemon/EntryNode.cpp
+++ b/src/FlowDaemon/EntryNode.cpp
@@ -17,12 +17,15 @@
   : mNode(aNode)
   , mCore(aNode.Settings().mDomain, aNode.State(), *this, aNode)
   , mSocket(aContext, aNode.Settings().mPackets)
-  , mProbes(aContext,
-            aNode.Settings().mReadiness,
-            [this](const http1::Request& aRequest) {
-              return OnProbe(aRequest);
-            })
-  , mTimer(aContext)
+  , mProbes(
+      aContext,
+      aNode.Settings().mReadiness,
+      [this](const http1::Request& aRequest) { return OnProbe(aRequest); })
+  , mDeadlines(aContext, [this] {
+    mSocket.Drain();
+    mCore.OnTimer(mNode.Now());
+    Finish();
+  })
 {
   mSocket.Start(*this);
 }
@@ -39,8 +42,13 @@
 }
 
 void
-EntryNode::OnDatagram(std::span<const uint8_t> aBytes, const Address&)
+EntryNode::OnDatagram(std::span<const uint8_t> aBytes, const Address& aFrom)
 {
+  // Agents answer on the same socket; their messages are shorter than packets.
+  if (aBytes.size() < platform::kPacketHeader) {
+    mNode.OnDatagram(aBytes, aFrom);
+    return;
+  }
   mNode.Metrics().mPacketsIn.Add();
   const auto packet = platform::DecodePacket(aBytes);
   if (!packet || packet->mReturned) {
@@ -67,25 +75,7 @@
 {
   mSocket.Flush();
   mNode.Flush();
-  ArmTimer();
-}
-
-void
-EntryNode::ArmTimer()
-{
-  const auto deadline = mCore.NextDeadline();
-  if (!deadline || deadline == mArmedFor) {
-    return;
-  }
-  mArmedFor = deadline;
-  mTimer.expires_after(*deadline - mNode.Now());
-  mTimer.async_wait([this](const asio::error_code& aError) {
-    if (!aError) {
-      mArmedFor.reset();
-      mCore.OnTimer(mNode.Now());
-      Finish();
-    }
-  });
+  mDeadlines.Arm(mCore.NextDeadline(), mNode.Now());
 }
 
 void
@@ -135,8 +125,7 @@
 EntryNode::SendReset(const flow::Packet& aPacket)
 {
   const auto reset = platform::EncodeReset(aPacket);
-  mSocket.Send(reset,
-               { aPacket.mSource.mIp, mNode.Settings().mPackets.mPort });
+  mSocket.Send(reset, { aPacket.mSource.mIp, mNode.Settings().mPackets.mPort });
 }
 
 } // namespace snipepost
--- a/src/FlowDaemon/EntryNode.h
+++ b/src/FlowDaemon/EntryNode.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include <optional>
-
 #include <asio.hpp>
 
 #include <snipepost/Flow/EntryCore.h>
 #include <snipepost/Http1/Server.h>
 #include <snipepost/Net/DatagramSocket.h>
 
+#include "src/FlowDaemon/DeadlineTimer.h"
 #include "src/FlowDaemon/Node.h"
 
 namespace snipepost {
@@ -43,15 +42,13 @@
 
 private:
   void Finish();
-  void ArmTimer();
   http1::Response OnProbe(const http1::Request& aRequest);
 
   Node& mNode;
   flow::EntryCore mCore;
   DatagramSocket mSocket;
   http1::Server mProbes;
-  asio::steady_timer mTimer;
-  std::optional<Instant> mArmedFor;
+  DeadlineTimer mDeadlines;
   Instant mNextExpiry;
   bool mStopping = false;
 };
--- a/src/FlowDaemon/Node.cpp
+++ b/src/FlowDaemon/Node.cpp
@@ -182,8 +182,8 @@
 Node::Send(cluster::NodeIp aTo, const flow::NodeMessage& aMessage)
 {
   const auto bytes = flow::EncodeMessage(aMessage);
-  mSocket.Send(
-    bytes, WithPort(Address{ aTo.Value(), 0 }, mSettings.mInternalPort));
+  mSocket.Send(bytes,
+               WithPort(Address{ aTo.Value(), 0 }, mSettings.mInternalPort));
 }
 
 void
@@ -238,13 +238,12 @@
   http1::Request request;
   request.mPath =
     std::string(kStatePath) + std::string(cluster::ToString(aPart));
-  fetch.mClient->Call(
-    std::move(request),
-    kFetchTimeout,
-    [this, aPeer, aPart](http1::Result aResult,
-                         const http1::Response& aResponse) {
-      OnFetched(aPeer, aPart, aResult, aResponse);
-    });
+  fetch.mClient->Call(std::move(request),
+                      kFetchTimeout,
+                      [this, aPeer, aPart](http1::Result aResult,
+                                           const http1::Response& aResponse) {
+                        OnFetched(aPeer, aPart, aResult, aResponse);
+                      });
 }
 
 void
@@ -317,8 +316,7 @@
       { "load", std::to_string(static_cast<int>(aDecision.mLoad)) },
       { "load_age_ms", InMs(aDecision.mLoadAge) },
       { "elapsed_ms", InMs(aDecision.mElapsed) },
-      { "config",
-        std::to_string(mReplica.Routes()->mVersion.Value()) },
+      { "config", std::to_string(mReplica.Routes()->mVersion.Value()) },
       { "reason", std::string(aDecision.mReason) } });
 }
 
--- a/src/Http1/Client.cpp
+++ b/src/Http1/Client.cpp
@@ -143,8 +143,8 @@
   void Send()
   {
     const Request& request = mQueue.front().mRequest;
-    mOut = request.mMethod + ' ' + request.mPath + " HTTP/1.1\r\nHost: " +
-           ToString(mServer) + "\r\n";
+    mOut = request.mMethod + ' ' + request.mPath +
+           " HTTP/1.1\r\nHost: " + ToString(mServer) + "\r\n";
     if (!request.mBody.empty()) {
       mOut += "Content-Type: application/json\r\n";
     }
@@ -183,8 +183,7 @@
       return;
     }
     const bool valid =
-      ended ? mParser.FeedEnd()
-            : mParser.Feed(std::span(mIn).first(aSize));
+      ended ? mParser.FeedEnd() : mParser.Feed(std::span(mIn).first(aSize));
     if (!valid || (ended && !mParser.Complete())) {
       Finish(Result::Broken);
       return;
--- a/src/Http1/Server.cpp
+++ b/src/Http1/Server.cpp
@@ -94,14 +94,13 @@
             session->mSocket.close(ignored);
           }
         });
-      mSocket.async_read_some(
-        asio::buffer(mIn),
-        [self = shared_from_this()](const asio::error_code& aError,
-                                    size_t aSize) {
-          if (!aError) {
-            self->OnRead(aSize);
-          }
-        });
+      mSocket.async_read_some(asio::buffer(mIn),
+                              [self = shared_from_this()](
+                                const asio::error_code& aError, size_t aSize) {
+                                if (!aError) {
+                                  self->OnRead(aSize);
+                                }
+                              });
     }
 
   private:
@@ -132,15 +131,14 @@
              "\r\n\r\n" + response.mBody;
       const bool keep = mParser.KeepAlive();
       mParser.Restart();
-      asio::async_write(
-        mSocket,
-        asio::buffer(mOut),
-        [self = shared_from_this(), keep](const asio::error_code& aError,
-                                          size_t) {
-          if (!aError && keep) {
-            self->Read();
-          }
-        });
+      asio::async_write(mSocket,
+                        asio::buffer(mOut),
+                        [self = shared_from_this(),
+                         keep](const asio::error_code& aError, size_t) {
+                          if (!aError && keep) {
+                            self->Read();
+                          }
+                        });
     }
 
     std::shared_ptr<Impl> mServer;
