Entry: short waves of load await the callers' copies; dead records are cleared

Records that crashed instances left in the store were never removed. Ruled out: silence in longer overload; it would hold callers for 1.4 s for nothing, so after 1.5 s of full refusals openings are rejected at once.

--- a/cmake/Snipepost.cmake
+++ b/cmake/Snipepost.cmake
@@ -31,6 +31,10 @@
 target_compile_options(snipepost_options INTERFACE -Wall -Wextra -Wpedantic
                                                    -Werror)
 target_link_libraries(snipepost_options INTERFACE Threads::Threads)
+if(SNIPEPOST_FLOW_ONLY)
+  target_compile_options(snipepost_options INTERFACE -fno-pie
+                                                     -ffunction-sections)
+endif()
 if(SNIPEPOST_SANITIZE)
   # GCC's group "undefined" covers enumerations and bool, but not the two
   # checks of floating-point numbers.
--- a/include/snipepost/Flow/AdmissionGate.h
+++ b/include/snipepost/Flow/AdmissionGate.h
@@ -12,6 +12,8 @@
 struct AdmissionInputs
 {
   TransitMark mMark = TransitMark::OfferLast;
+  /// A copy of an opening packet, at least 200 ms after the first.
+  bool mCopy = false;
   /// The shared state and the backend server's own state are known.
   bool mReady = false;
   bool mServiceMatches = false;
--- a/include/snipepost/Flow/Candidates.h
+++ b/include/snipepost/Flow/Candidates.h
@@ -21,8 +21,10 @@
   bool mCold = false;
   /// Smoothed time from an offer to its reply; zero before the first.
   Duration mReplyTime{};
-  /// Offers in a row that were not answered in time.
+  /// Offers in a row that were not answered in time, and when the first of
+  /// them was sent.
   uint32_t mUnanswered = 0;
+  Instant mSilentSince;
   /// No offer before this time, unless nobody else is left.
   Instant mAvoidUntil;
   Refusal mLastRefusal = Refusal::None;
--- a/include/snipepost/Flow/EntryCore.h
+++ b/include/snipepost/Flow/EntryCore.h
@@ -69,6 +69,10 @@
   /// Forgets flows that have ended; called about twice a second.
   void Expire(Instant aNow);
 
+  /// Names of records whose agents have answered nothing for so long that they
+  /// are taken for gone. An agent that lives announces itself again.
+  std::vector<std::string> DeadRecords(Instant aNow) const;
+
   size_t FlowCount() const { return mFlows.size(); }
   /// Agents that are avoided for new flows now.
   size_t AvoidedAgents(Instant aNow) const;
@@ -132,6 +136,9 @@
   /// Offers the openings that came before the shared state.
   void OfferHeld(Instant aNow);
   void GiveUp(const FlowId& aId, EntryFlow& aFlow, Instant aNow);
+  /// True when all agents are full in a short wave of load and another copy of
+  /// the opening packet follows, which may find room.
+  bool AwaitsCopy(const EntryFlow& aFlow, Instant aNow);
   void Reject(const FlowId& aId,
               EntryFlow& aFlow,
               std::string_view aReason,
@@ -180,6 +187,8 @@
   std::unordered_map<Address, AgentView> mViews;
   Flows mFlows;
   RetryBudget mRepeatBudget;
+  Instant mOverloadSince;
+  Instant mLastOverload;
   /// Flows whose opening packet waits for the shared state.
   std::vector<FlowId> mHeld;
   /// Flows with an offer that waits, by deadline.
--- a/src/Flow/AdmissionGate.cpp
+++ b/src/Flow/AdmissionGate.cpp
@@ -14,6 +14,9 @@
 /// Part of the objective that a request may wait for a slot; the rest is for
 /// the paths, earlier offers and the work itself.
 constexpr double kWaitShare = 0.5;
+/// The same for copies: their answer is late in any case, and must not make
+/// that of a fresh request late as well.
+constexpr double kCopyWaitShare = 0.25;
 
 /// Longest wait that a last offer is taken for.
 Duration
@@ -22,7 +25,8 @@
   if (aInputs.mKind == cluster::RequestKind::Unsafe) {
     return aInputs.mTimeout / 2;
   }
-  return std::chrono::duration_cast<Duration>(aInputs.mObjective * kWaitShare);
+  const double share = aInputs.mCopy ? kCopyWaitShare : kWaitShare;
+  return std::chrono::duration_cast<Duration>(aInputs.mObjective * share);
 }
 
 Refusal
--- a/src/Flow/AgentCore.cpp
+++ b/src/Flow/AgentCore.cpp
@@ -183,6 +183,7 @@
   const auto service = routes->mServices.find(mOptions.mService);
   AdmissionInputs inputs;
   inputs.mMark = aPacket.mMark;
+  inputs.mCopy = aPacket.mAcknowledgement > 0;
   inputs.mReady = mReplica.Complete() && mStatus.Known();
   inputs.mServiceMatches = aPacket.mNote == ServiceTag(mOptions.mService);
   inputs.mEvacuated = mReplica.Evacuated(mOptions.mDomain);
--- a/src/Flow/EntryCore.cpp
+++ b/src/Flow/EntryCore.cpp
@@ -38,9 +38,22 @@
 constexpr Duration kMaxReplyTimeout = std::chrono::milliseconds(80);
 /// Offers in a row without a reply, after which an agent is avoided.
 constexpr uint32_t kUnansweredLimit = 2;
+/// Time and offers without an answer after which a record counts as left
+/// behind by a crash. Cuts and restarts end within 12 s.
+constexpr Duration kDeadAfter = std::chrono::seconds(25);
+constexpr uint32_t kDeadOffers = 6;
 constexpr Duration kFirstAvoid = std::chrono::milliseconds(100);
 constexpr Duration kLongestAvoid = std::chrono::seconds(1);
 
+/// An overload this young is taken for a wave that passes, as after an outage,
+/// when the callers of a second and a half come back together. Their copies
+/// spread them over 600 ms; resets would use up their few retries at once.
+constexpr Duration kShortOverload = std::chrono::milliseconds(1500);
+/// Time without a full refusal that ends an overload.
+constexpr Duration kOverloadPause = std::chrono::milliseconds(500);
+/// Number of the last copy of an opening packet.
+constexpr uint32_t kLastCopy = 2;
+
 /// Callers repeat an opening packet for 1.4 s; ended flows see late packets
 /// for the longest retransmission interval.
 constexpr Duration kOpeningMemory = std::chrono::seconds(2);
@@ -390,12 +403,37 @@
            aNow);
     return;
   }
+  const bool overloaded =
+    std::ranges::any_of(aFlow.mOffers, [](const Offer& aOffer) {
+      return aOffer.mRefusal == Refusal::Full;
+    });
+  if (overloaded && AwaitsCopy(aFlow, aNow)) {
+    Decide(Verdict::Dropped,
+           aId,
+           aFlow,
+           {},
+           Refusal::Full,
+           "copy-may-be-served",
+           aNow);
+    return;
+  }
   Reject(aId,
          aFlow,
          aFlow.mOffers.empty() ? "no-backend-server" : "all-refused",
          aNow);
 }
 
+bool
+EntryCore::AwaitsCopy(const EntryFlow& aFlow, Instant aNow)
+{
+  if (aNow - mLastOverload > kOverloadPause) {
+    mOverloadSince = aNow;
+  }
+  mLastOverload = aNow;
+  return aNow - mOverloadSince < kShortOverload &&
+         aFlow.mPacket.mAcknowledgement < kLastCopy;
+}
+
 void
 EntryCore::Reject(const FlowId& aId,
                   EntryFlow& aFlow,
@@ -680,6 +718,9 @@
     Offer& offer = flow.mOffers.back();
     offer.mState = OfferState::Late;
     AgentView& view = mViews[offer.mAgent];
+    if (view.mUnanswered == 0) {
+      view.mSilentSince = offer.mSentAt;
+    }
     if (++view.mUnanswered >= kUnansweredLimit) {
       const uint32_t doublings =
         std::min(view.mUnanswered - kUnansweredLimit, 4U);
@@ -711,6 +752,19 @@
   });
 }
 
+std::vector<std::string>
+EntryCore::DeadRecords(Instant aNow) const
+{
+  std::vector<std::string> names;
+  for (const auto& [agent, view] : mViews) {
+    if (view.mUnanswered >= kDeadOffers &&
+        aNow - view.mSilentSince > kDeadAfter) {
+      names.push_back(cluster::RecordName(agent));
+    }
+  }
+  return names;
+}
+
 size_t
 EntryCore::AvoidedAgents(Instant aNow) const
 {
--- a/src/FlowDaemon/EntryNode.cpp
+++ b/src/FlowDaemon/EntryNode.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(500);
+/// Between two writes that clear records; few instances do it at a time.
+constexpr Duration kClearingInterval = std::chrono::seconds(2);
 
 } // namespace
 
@@ -107,6 +109,34 @@
     mCore.Expire(now);
     mNode.Metrics().mFlows.Set(static_cast<double>(mCore.FlowCount()));
   }
+  if (mNode.Watching() && now >= mNextClearing) {
+    mNextClearing = now + kClearingInterval;
+    ClearDeadRecord();
+  }
+}
+
+void
+EntryNode::ClearDeadRecord()
+{
+  const auto names = mCore.DeadRecords(mNode.Now());
+  if (names.empty()) {
+    return;
+  }
+  const std::string& name = names.front();
+  const auto stored = mNode.State().Stored(cluster::Part::Backends, name);
+  if (!stored) {
+    return;
+  }
+  cluster::RecordWrite write;
+  write.mAction = cluster::RecordWrite::Action::Remove;
+  write.mExpected = stored->mRevision;
+  mNode.Metrics().mStoreWrites.Add();
+  mNode.Store().Write(name, write, [this, name](cluster::WriteResult aResult) {
+    mNode.Log().Write(
+      "dead-record-cleared",
+      { { "record", name },
+        { "outcome", std::string(ToString(aResult.mOutcome)) } });
+  });
 }
 
 void
--- a/src/FlowDaemon/EntryNode.h
+++ b/src/FlowDaemon/EntryNode.h
@@ -42,6 +42,8 @@
 
 private:
   void Finish();
+  /// Removes a record that a crashed instance left in the store.
+  void ClearDeadRecord();
   http1::Response OnProbe(const http1::Request& aRequest);
 
   Node& mNode;
@@ -50,6 +52,7 @@
   http1::Server mProbes;
   DeadlineTimer mDeadlines;
   Instant mNextExpiry;
+  Instant mNextClearing;
   bool mStopping = false;
 };
 
--- a/src/FlowDaemon/Node.h
+++ b/src/FlowDaemon/Node.h
@@ -68,6 +68,9 @@
   NodeMetrics& Metrics() { return mMetrics; }
   const NodeSettings& Settings() const { return mSettings; }
 
+  /// True while this node follows the store on behalf of others.
+  bool Watching() const { return mWatching; }
+
   /// Queues a message; Flush() sends it.
   void Send(cluster::NodeIp aTo, const flow::NodeMessage& aMessage);
   void Flush() { mSocket.Flush(); }
--- a/tests/Flow/AdmissionGateTest.cpp
+++ b/tests/Flow/AdmissionGateTest.cpp
@@ -95,6 +95,19 @@
   BOOST_TEST((Admit(inputs) == Refusal::Full));
 }
 
+// After an outage callers' copies come in one wave; they are late already and
+// leave room for requests that can still be in time.
+BOOST_AUTO_TEST_CASE(CopiesWaitLessThanFreshRequests)
+{
+  AdmissionInputs inputs = Idle();
+  inputs.mLoad = 10; // A wait of 44 ms.
+  BOOST_TEST((Admit(inputs) == Refusal::None));
+  inputs.mCopy = true;
+  BOOST_TEST((Admit(inputs) == Refusal::Full));
+  inputs.mLoad = 4;
+  BOOST_TEST((Admit(inputs) == Refusal::None));
+}
+
 BOOST_AUTO_TEST_CASE(WaitCountsWholeServiceTimes)
 {
   BOOST_TEST((ExpectedWait(3, 4, 20ms) == 0ms));
