Entry: a located owner ends the wait for the reply to the offer

Change: a notice of ownership ends the deadline. Conclusion: one connection less for each lost reply.

--- a/src/Flow/EntryCore.cpp
+++ b/src/Flow/EntryCore.cpp
@@ -543,6 +543,9 @@
     if (record.mAgent.mIp == aFrom.Value()) {
       flow.mOwner = record.mAgent;
       flow.mResolved = true;
+      // The reply to the offer was lost; no other agent is asked.
+      SetDeadline(aNotice.mFlow, flow, std::nullopt);
+      mViews[record.mAgent].mUnanswered = 0;
       Decide(Verdict::Located,
              aNotice.mFlow,
              flow,
--- a/tests/Flow/EntryCoreTest.cpp
+++ b/tests/Flow/EntryCoreTest.cpp
@@ -229,6 +229,22 @@
   BOOST_TEST((mSent[0].mMark == TransitMark::Owner));
 }
 
+// The reply to an offer is lost, and the caller's next packet shows the owner:
+// a second offer would open the flow at a second server.
+BOOST_AUTO_TEST_CASE(OwnerNoticeStandsInForALostReply)
+{
+  Open();
+  const Address agent = mSent[0].mAgent;
+  Data(5001);
+  BOOST_TEST((mSent.back().mMark == TransitMark::Locate));
+  mCore->OnOwnerNotice(
+    NodeIp(agent.mIp), { { kCaller, kService }, true }, mNow);
+  const size_t sent = mSent.size();
+  Pass(100ms);
+  BOOST_TEST(mSent.size() == sent);
+  BOOST_TEST(mDecisions.Count(Verdict::Unanswered) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(DeniedOwnershipLocatesAgain)
 {
   Open();
