Agents the store refuses publish through a peer; settings files are looked at

Cause: the store may refuse some instances and serve others for 9 s; a backend server that started beside such an agent got no flow, although its state came through peers already. Change: after two failed writes an agent asks an entry instance to write its record; whether it was done shows in the replica. The settings file is looked at every 10 s, since it may change without a signal. Test: NodeTest/AgentWithoutStoreIsServedByAPeer (fails without the relay: no record).

--- a/include/snipepost/Cluster/GossipCore.h
+++ b/include/snipepost/Cluster/GossipCore.h
@@ -123,7 +123,8 @@
 
   /// Entry instances that were heard from.
   std::vector<NodeIp> Entries() const;
-  size_t PeerCount() const { return mPeers.size(); }
+  /// One of them at random; nothing when none is known.
+  std::optional<NodeIp> RandomEntry();
 
 private:
   struct Peer
--- a/platform/Json.h
+++ b/include/snipepost/Cluster/JsonFields.h
@@ -7,7 +7,7 @@
 
 #include <boost/json.hpp>
 
-namespace snipepost::platform {
+namespace snipepost::cluster {
 
 /// Fields of an object; nothing when missing or of another type.
 std::optional<std::string>
@@ -21,4 +21,4 @@
 std::optional<boost::json::object>
 ParseObject(std::string_view aText);
 
-} // namespace snipepost::platform
+} // namespace snipepost::cluster
--- a/include/snipepost/Cluster/RecordPublisher.h
+++ b/include/snipepost/Cluster/RecordPublisher.h
@@ -27,6 +27,19 @@
   std::string mText;
 };
 
+/// A write of the record aName that a peer is asked to pass on to the store.
+struct RelayedWrite
+{
+  std::string mName;
+  RecordWrite mWrite;
+};
+
+/// Writes a request to relay as JSON, and reads it; nothing when malformed.
+std::string
+EncodeRelayed(const RelayedWrite& aWrite);
+std::optional<RelayedWrite>
+DecodeRelayed(std::string_view aText);
+
 enum class WriteOutcome
 {
   Done,
--- a/src/Cluster/BackendRecord.cpp
+++ b/src/Cluster/BackendRecord.cpp
@@ -2,7 +2,7 @@
 
 #include <limits>
 
-#include <boost/json.hpp>
+#include <snipepost/Cluster/JsonFields.h>
 
 namespace snipepost::cluster {
 
@@ -10,31 +10,6 @@
 
 namespace {
 
-std::optional<std::string>
-TextField(const json::object& aObject, std::string_view aName)
-{
-  const json::value* value = aObject.if_contains(aName);
-  if (!value || !value->is_string()) {
-    return std::nullopt;
-  }
-  return std::string(value->get_string());
-}
-
-std::optional<uint64_t>
-CountField(const json::object& aObject, std::string_view aName)
-{
-  const json::value* value = aObject.if_contains(aName);
-  if (!value) {
-    return std::nullopt;
-  }
-  json::error_code error;
-  const auto count = value->to_number<uint64_t>(error);
-  if (error) {
-    return std::nullopt;
-  }
-  return count;
-}
-
 std::optional<BackendState>
 StateField(const json::object& aObject)
 {
@@ -73,18 +48,16 @@
 std::optional<BackendRecord>
 DecodeRecord(std::string_view aText)
 {
-  json::error_code error;
-  const json::value value = json::parse(aText, error);
-  if (error || !value.is_object()) {
+  const auto object = ParseObject(aText);
+  if (!object) {
     return std::nullopt;
   }
-  const json::object& object = value.get_object();
-  const auto service = TextField(object, "service");
-  const auto agent = TextField(object, "agent");
-  const auto domain = TextField(object, "domain");
-  const auto state = StateField(object);
-  const auto slots = CountField(object, "slots");
-  const auto born = CountField(object, "born");
+  const auto service = TextField(*object, "service");
+  const auto agent = TextField(*object, "agent");
+  const auto domain = TextField(*object, "domain");
+  const auto state = StateField(*object);
+  const auto slots = CountField(*object, "slots");
+  const auto born = CountField(*object, "born");
   if (!service || !agent || !domain || !state || !slots || !born) {
     return std::nullopt;
   }
--- a/src/Cluster/GossipCore.cpp
+++ b/src/Cluster/GossipCore.cpp
@@ -194,6 +194,16 @@
   return entries;
 }
 
+std::optional<NodeIp>
+GossipCore::RandomEntry()
+{
+  const auto entries = Entries();
+  if (entries.empty()) {
+    return std::nullopt;
+  }
+  return entries[mRandom.Below(entries.size())];
+}
+
 Duration
 GossipCore::WatcherTimeout() const
 {
--- a/platform/Json.cpp
+++ b/src/Cluster/JsonFields.cpp
@@ -1,6 +1,6 @@
-#include "platform/Json.h"
+#include <snipepost/Cluster/JsonFields.h>
 
-namespace snipepost::platform {
+namespace snipepost::cluster {
 
 namespace json = boost::json;
 
@@ -47,4 +47,4 @@
   return std::move(value.get_object());
 }
 
-} // namespace snipepost::platform
+} // namespace snipepost::cluster
--- a/src/Cluster/RecordPublisher.cpp
+++ b/src/Cluster/RecordPublisher.cpp
@@ -1,7 +1,11 @@
 #include <snipepost/Cluster/RecordPublisher.h>
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
+#include <snipepost/Cluster/JsonFields.h>
+
 namespace snipepost::cluster {
 
 namespace {
@@ -12,6 +16,11 @@
 constexpr Duration kFirstWait = std::chrono::milliseconds(50);
 constexpr Duration kLongestWait = std::chrono::seconds(1);
 
+/// By RecordWrite::Action.
+constexpr std::array<std::string_view, 3> kActionNames = { "create",
+                                                           "replace",
+                                                           "remove" };
+
 /// The store keeps values, not texts: the order of fields may differ.
 std::optional<StoredRecord>
 Canonical(std::optional<StoredRecord> aStored)
@@ -26,6 +35,45 @@
 
 } // namespace
 
+std::string
+EncodeRelayed(const RelayedWrite& aWrite)
+{
+  const boost::json::object object = {
+    { "name", aWrite.mName },
+    { "action", kActionNames.at(static_cast<size_t>(aWrite.mWrite.mAction)) },
+    { "expected", aWrite.mWrite.mExpected.Value() },
+    { "text", aWrite.mWrite.mText },
+  };
+  return boost::json::serialize(object);
+}
+
+std::optional<RelayedWrite>
+DecodeRelayed(std::string_view aText)
+{
+  const auto object = ParseObject(aText);
+  if (!object) {
+    return std::nullopt;
+  }
+  const auto name = TextField(*object, "name");
+  const auto action = TextField(*object, "action");
+  const auto expected = CountField(*object, "expected");
+  const auto text = TextField(*object, "text");
+  if (!name || name->empty() || !action || !expected || !text) {
+    return std::nullopt;
+  }
+  const auto known =
+    std::find(kActionNames.begin(), kActionNames.end(), *action);
+  if (known == kActionNames.end()) {
+    return std::nullopt;
+  }
+  RelayedWrite relayed{ *name, {} };
+  relayed.mWrite.mAction =
+    static_cast<RecordWrite::Action>(known - kActionNames.begin());
+  relayed.mWrite.mExpected = Revision(*expected);
+  relayed.mWrite.mText = *text;
+  return relayed;
+}
+
 std::string_view
 ToString(WriteOutcome aOutcome)
 {
--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(500);
+/// Failed writes in a row after which a peer is asked: the store may refuse
+/// this instance and serve others.
+constexpr uint32_t kRelayAfter = 2;
 
 flow::AgentOptions
 OptionsOf(const NodeSettings& aSettings)
@@ -151,17 +154,33 @@
   if (!write) {
     return;
   }
+  if (mFailedWrites >= kRelayAfter &&
+      mNode.RelayWrite({ mPublisher.Name(), *write })) {
+    mFailedWrites = 0;
+    mPublisher.OnOutcome(
+      cluster::WriteOutcome::Unknown, std::nullopt, mNode.Now());
+    return;
+  }
   mNode.Metrics().mStoreWrites.Add();
   mNode.Store().Write(
     mPublisher.Name(), *write, [this](cluster::WriteResult aResult) {
-      mNode.Log().Write(
-        "record-written",
-        { { "outcome", std::string(ToString(aResult.mOutcome)) } });
-      mPublisher.OnOutcome(
-        aResult.mOutcome, std::move(aResult.mStored), mNode.Now());
+      OnWritten(std::move(aResult));
     });
 }
 
+void
+AgentNode::OnWritten(cluster::WriteResult aResult)
+{
+  const bool answered = aResult.mOutcome == cluster::WriteOutcome::Done ||
+                        aResult.mOutcome == cluster::WriteOutcome::Conflict;
+  mFailedWrites = answered ? 0 : mFailedWrites + 1;
+  mNode.Log().Write("record-written",
+                    { { "record", mPublisher.Name() },
+                      { "outcome", std::string(ToString(aResult.mOutcome)) } });
+  mPublisher.OnOutcome(
+    aResult.mOutcome, std::move(aResult.mStored), mNode.Now());
+}
+
 void
 AgentNode::OnReplicaChanged(cluster::Part)
 {
--- a/src/FlowDaemon/AgentNode.h
+++ b/src/FlowDaemon/AgentNode.h
@@ -67,6 +67,7 @@
   void Announce();
   void ObserveRecord();
   void PublishRecord();
+  void OnWritten(cluster::WriteResult aResult);
   void Finish();
 
   Node& mNode;
@@ -74,6 +75,7 @@
   cluster::RecordPublisher mPublisher;
   /// Version of the records that the publisher was shown last.
   cluster::PartVersion mObserved;
+  uint32_t mFailedWrites = 0;
   BackendPackets mBackendPackets;
   DatagramSocket mSocket;
   DatagramSocket mBackendSocket;
--- a/src/FlowDaemon/Main.cpp
+++ b/src/FlowDaemon/Main.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <exception>
+#include <filesystem>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -19,6 +20,9 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitBadSettings = 2;
 
+/// How often the settings file is looked at: it may change without a signal.
+constexpr auto kFilePoll = std::chrono::seconds(10);
+
 /// How often a stopping agent looks whether its flows have ended.
 constexpr auto kStopPoll = std::chrono::milliseconds(50);
 
@@ -30,7 +34,9 @@
     : mArguments(std::move(aArguments))
     , mNode(mContext, aSettings)
     , mSignals(mContext, SIGTERM, SIGINT, SIGHUP)
+    , mFileTimer(mContext)
     , mStopTimer(mContext)
+    , mFileTime(FileTime(aSettings.mSettingsFile))
   {
     if (aSettings.mRole == cluster::NodeRole::Entry) {
       mEntry = std::make_unique<EntryNode>(mContext, mNode);
@@ -44,6 +50,7 @@
   void Run()
   {
     AwaitSignal();
+    PollFile();
     mContext.run();
   }
 
@@ -63,8 +70,32 @@
     });
   }
 
+  using FileClock = std::filesystem::file_time_type;
+
+  /// When the file was written last; the default value when it can't be told.
+  static FileClock FileTime(const std::string& aPath)
+  {
+    std::error_code missing;
+    return std::filesystem::last_write_time(aPath, missing);
+  }
+
+  void PollFile()
+  {
+    mFileTimer.expires_after(kFilePoll);
+    mFileTimer.async_wait([this](const asio::error_code& aError) {
+      if (aError) {
+        return;
+      }
+      if (FileTime(mNode.Settings().mSettingsFile) != mFileTime) {
+        Reload();
+      }
+      PollFile();
+    });
+  }
+
   void Reload()
   {
+    mFileTime = FileTime(mNode.Settings().mSettingsFile);
     NodeSettings settings;
     const auto report =
       LoadNodeSettings(mArguments, ProcessEnvironment(), settings);
@@ -114,7 +145,9 @@
   std::unique_ptr<EntryNode> mEntry;
   std::unique_ptr<AgentNode> mAgent;
   asio::signal_set mSignals;
+  asio::steady_timer mFileTimer;
   asio::steady_timer mStopTimer;
+  FileClock mFileTime;
   Instant mStopBy;
   bool mStopping = false;
 };
--- a/src/FlowDaemon/Node.cpp
+++ b/src/FlowDaemon/Node.cpp
@@ -16,7 +16,10 @@
 /// A peer in the next failure domain answers within 10 ms.
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(300);
 constexpr std::string_view kStatePath = "/state/";
+constexpr std::string_view kRecordsPath = "/records";
 
+constexpr unsigned kAccepted = 202;
+constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 
 std::vector<cluster::NodeIp>
@@ -324,6 +327,46 @@
       { "reason", std::string(aDecision.mReason) } });
 }
 
+bool
+Node::RelayWrite(const cluster::RelayedWrite& aWrite)
+{
+  const auto entry = mGossip.RandomEntry();
+  if (!entry) {
+    return false;
+  }
+  const Address address{ entry->Value(),
+                         static_cast<uint16_t>(mSettings.mInternalPort) };
+  mRelay = std::make_unique<http1::Client>(mContext, address);
+  mRelay->Call(
+    { "POST", std::string(kRecordsPath), cluster::EncodeRelayed(aWrite) },
+    kFetchTimeout,
+    [this, entry](http1::Result aResult, const http1::Response&) {
+      mLog.Write("write-relayed",
+                 { { "peer", IpText(*entry) },
+                   { "result", std::string(http1::ToString(aResult)) } });
+    });
+  return true;
+}
+
+http1::Response
+Node::WriteForPeer(const std::string& aBody)
+{
+  const auto relayed = cluster::DecodeRelayed(aBody);
+  if (!relayed) {
+    return { kBadRequest, {} };
+  }
+  mMetrics.mStoreWrites.Add();
+  mStore.Write(
+    relayed->mName,
+    relayed->mWrite,
+    [this, name = relayed->mName](const cluster::WriteResult& aResult) {
+      mLog.Write("record-written",
+                 { { "record", name },
+                   { "outcome", std::string(ToString(aResult.mOutcome)) } });
+    });
+  return { kAccepted, {} };
+}
+
 void
 Node::UpdateGauges()
 {
@@ -359,6 +402,9 @@
 http1::Response
 Node::Serve(const http1::Request& aRequest)
 {
+  if (aRequest.mMethod == "POST" && aRequest.mPath == kRecordsPath) {
+    return WriteForPeer(aRequest.mBody);
+  }
   if (aRequest.mMethod != "GET") {
     return { kNotFound, {} };
   }
--- a/src/FlowDaemon/Node.h
+++ b/src/FlowDaemon/Node.h
@@ -71,6 +71,11 @@
   /// True while this node follows the store on behalf of others.
   bool Watching() const { return mWatching; }
 
+  /// Asks an entry instance to write a record, for an agent that the store
+  /// refuses. Whether it was done shows in the replica. False when none is
+  /// known.
+  bool RelayWrite(const cluster::RelayedWrite& aWrite);
+
   /// Queues a message; Flush() sends it.
   void Send(cluster::NodeIp aTo, const flow::NodeMessage& aMessage);
   void Flush() { mSocket.Flush(); }
@@ -102,6 +107,7 @@
                         const std::vector<std::string>& aChanges);
   void UpdateGauges();
   http1::Response Serve(const http1::Request& aRequest);
+  http1::Response WriteForPeer(const std::string& aBody);
   std::string StatusText() const;
 
   asio::io_context& mContext;
@@ -116,6 +122,7 @@
   http1::Server mServer;
   http1::Server mMetricsServer;
   std::array<Fetch, cluster::kParts.size()> mFetches;
+  std::unique_ptr<http1::Client> mRelay;
   asio::steady_timer mTimer;
   NodeRoleHandler* mRole = nullptr;
   bool mPushPending = false;
--- a/tests/Cluster/RecordPublisherTest.cpp
+++ b/tests/Cluster/RecordPublisherTest.cpp
@@ -107,4 +107,25 @@
   BOOST_TEST(publisher.Settled());
 }
 
+BOOST_AUTO_TEST_CASE(RelayedWritesSurviveEncodingAndRejectOthers)
+{
+  RelayedWrite relayed{ "n", {} };
+  relayed.mWrite.mAction = RecordWrite::Action::Replace;
+  relayed.mWrite.mExpected = Revision(7);
+  relayed.mWrite.mText = "{}";
+  const auto decoded = DecodeRelayed(EncodeRelayed(relayed));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->mName == "n");
+  BOOST_TEST((decoded->mWrite.mAction == RecordWrite::Action::Replace));
+  BOOST_TEST(decoded->mWrite.mExpected.Value() == 7U);
+  BOOST_TEST(decoded->mWrite.mText == "{}");
+  for (const char* text :
+       { "",
+         "{}",
+         R"({"name":"","action":"create","expected":0,"text":""})",
+         R"({"name":"n","action":"burn","expected":0,"text":""})" }) {
+    BOOST_TEST(!DecodeRelayed(text).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/FlowDaemon/NodeTest.cpp
+++ b/tests/FlowDaemon/NodeTest.cpp
@@ -204,10 +204,10 @@
 /// An entry instance and an agent in one process, on loopback addresses.
 struct Deployment
 {
-  Deployment()
+  explicit Deployment(const NodeSettings& aAgent = AgentSettings())
     : mStore(mContext)
     , mEntryNode(mContext, Common(kEntryIp))
-    , mAgentNode(mContext, AgentSettings())
+    , mAgentNode(mContext, aAgent)
     , mEntry(mContext, mEntryNode)
     , mAgent(mContext, mAgentNode)
     , mBackend(mContext, { kBackendIp, kPackets })
@@ -355,6 +355,33 @@
   RunUntil([&] { return mBackend.mDatagrams.size() == 1; });
 }
 
+/// The store refuses the agent and serves the entry instance.
+struct RefusedAgent : Deployment
+{
+  RefusedAgent()
+    : Deployment(Settings())
+  {
+  }
+
+  static NodeSettings Settings()
+  {
+    NodeSettings settings = AgentSettings();
+    settings.mStore = { kStoreIp, kStorePort + 1 }; // Nobody listens.
+    settings.mSeeds = { { kEntryIp, 1 } };
+    return settings;
+  }
+};
+
+// Both what an agent reads and what it publishes must go through a peer.
+BOOST_FIXTURE_TEST_CASE(AgentWithoutStoreIsServedByAPeer, RefusedAgent)
+{
+  Announce();
+  BOOST_TEST(mStore.Count("backends") == 1U);
+  mCallers.Send(PacketBytes(kCaller, kRoute, 64, 100, 0),
+                { kEntryIp, kPackets });
+  RunUntil([&] { return mBackend.mDatagrams.size() == 1; });
+}
+
 BOOST_AUTO_TEST_CASE(MetricsAndStatusAreServed)
 {
   Announce();
