--- a/cmake/Snipepost.cmake
+++ b/cmake/Snipepost.cmake
@@ -27,6 +27,9 @@
   snipepost_options
   INTERFACE $<$<NOT:$<BOOL:${SNIPEPOST_FLOW_ONLY}>>:BOOST_LOG_DYN_LINK>
             ASIO_STANDALONE ASIO_NO_DEPRECATED
+            # Else it depends on the headers before Asio's which allocator a
+            # source file uses, and one may free what another allocated.
+            ASIO_DISABLE_STD_ALIGNED_ALLOC
             BOOST_BIND_GLOBAL_PLACEHOLDERS)
 target_compile_options(snipepost_options INTERFACE -Wall -Wextra -Wpedantic
                                                    -Werror)
