--- a/include/snipepost/Flow/AgentCore.h
+++ b/include/snipepost/Flow/AgentCore.h
@@ -52,6 +52,9 @@
 class AgentCore
 {
 public:
+  /// Bounds the memory of the flow table; a backend server holds up to 2,000.
+  static constexpr size_t kMaxFlows = 8192;
+
   AgentCore(AgentOptions aOptions,
             const cluster::Replica& aReplica,
             AgentOutput& aOutput,
--- a/include/snipepost/Flow/Packet.h
+++ b/include/snipepost/Flow/Packet.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <span>
+#include <string_view>
 
 #include <snipepost/Base/Address.h>
 #include <snipepost/Base/Types.h>
@@ -55,6 +56,20 @@
   bool Answers() const { return mSyn && mAck; }
 };
 
+/// The flow of a packet that a caller sent, or that a backend server returned.
+inline FlowId
+CallerFlow(const Packet& aPacket)
+{
+  return { aPacket.mSource, aPacket.mDestination };
+}
+
+/// The flow of a packet that a backend server sent.
+inline FlowId
+BackendFlow(const Packet& aPacket)
+{
+  return { aPacket.mDestination, aPacket.mSource };
+}
+
 /// Hash of a flow that every node computes alike.
 uint64_t
 FlowHash(const FlowId& aFlow);
--- a/src/Flow/AgentCore.cpp
+++ b/src/Flow/AgentCore.cpp
@@ -9,40 +9,26 @@
 /// A backend server answers an opening packet within 0.3 ms; the rest is for
 /// the processors of both.
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(12);
+
 /// Unanswered opening packets in a row that make a backend server silent, and
 /// the time between trials then.
 constexpr uint32_t kSilentAfter = 3;
 constexpr Duration kTrialInterval = std::chrono::milliseconds(100);
+
 /// An opening counts as load for this long without a packet of the caller,
 /// about the way to the caller and back. The caller may have chosen another
 /// backend server, whose answer came first.
 constexpr Duration kOpeningLoad = std::chrono::milliseconds(60);
-/// Callers give up an opening after 1.4 s.
-constexpr Duration kOpeningLimit = std::chrono::milliseconds(1500);
-/// Longest retransmission interval of both ends, for packets after the end.
-constexpr Duration kClosedMemory = std::chrono::seconds(2);
-constexpr Duration kDeadMemory = std::chrono::seconds(5);
-/// A request that holds a slot for longer has been lost.
-constexpr Duration kBusyLimit = std::chrono::seconds(5);
+
 /// Service time assumed before the first answer.
 constexpr Duration kFirstServiceTime = std::chrono::milliseconds(25);
-constexpr size_t kMaxFlows = 8192;
+
 /// Flows assumed to fit when the configuration does not say.
 constexpr uint32_t kDefaultMaxFlows = 1000;
-/// Offer of a caller's first acknowledgement within the backend's sequence.
-constexpr uint32_t kChosenWindow = 1U << 20;
-
-FlowId
-FromCaller(const Packet& aPacket)
-{
-  return { aPacket.mSource, aPacket.mDestination };
-}
 
-FlowId
-FromBackend(const Packet& aPacket)
-{
-  return { aPacket.mDestination, aPacket.mSource };
-}
+/// Largest distance of a caller's first acknowledgement from the start of the
+/// backend server's sequence.
+constexpr uint32_t kChosenWindow = 1U << 20;
 
 } // namespace
 
@@ -74,7 +60,7 @@
   if (!PassesEvacuation(aNow)) {
     return;
   }
-  const FlowId id = FromCaller(aPacket);
+  const FlowId id = CallerFlow(aPacket);
   const auto found = mFlows.find(id);
   if (found == mFlows.end()) {
     OnUnknownFlow(aPacket, aBytes, aFrom, aNow);
@@ -123,7 +109,7 @@
                          cluster::NodeIp aFrom,
                          Instant aNow)
 {
-  const FlowId id = FromCaller(aPacket);
+  const FlowId id = CallerFlow(aPacket);
   if (KnowsAllFlows(aNow)) {
     if (aPacket.mMark != TransitMark::Locate) {
       Decide(Verdict::NotOwned, id, aFrom, Refusal::None, {});
@@ -222,7 +208,7 @@
                      cluster::NodeIp aFrom,
                      Instant aNow)
 {
-  const FlowId id = FromCaller(aPacket);
+  const FlowId id = CallerFlow(aPacket);
   const auto found = mFlows.find(id);
   if (found != mFlows.end()) {
     const AgentFlow& flow = found->second;
@@ -252,7 +238,7 @@
                 cluster::NodeIp aFrom,
                 Instant aNow)
 {
-  const FlowId id = FromCaller(aPacket);
+  const FlowId id = CallerFlow(aPacket);
   AgentFlow& flow = mFlows[id];
   flow.mCallerSequence = aPacket.mSequence;
   flow.mEntry = aFrom;
@@ -293,113 +279,6 @@
   mOutput.SendToNode(aFlow.mEntry, OwnerNotice{ aId, true });
 }
 
-void
-AgentCore::OnBackendPacket(const Packet& aPacket,
-                           std::span<const uint8_t> aBytes,
-                           Instant aNow)
-{
-  if (aPacket.mReturned) {
-    OnReturned(aPacket, aNow);
-    return;
-  }
-  mUnanswered = 0;
-  const FlowId id = FromBackend(aPacket);
-  auto found = mFlows.find(id);
-  if (found == mFlows.end() && mFlows.size() < kMaxFlows) {
-    // The flow opened before this agent started.
-    found = mFlows.try_emplace(id).first;
-    found->second.mOpenedAt = aNow;
-    found->second.mOpen = true;
-    found->second.mAnswered = true;
-  }
-  if (found != mFlows.end()) {
-    OnAnswer(id, found->second, aPacket, aNow);
-  }
-  mOutput.SendToCaller(aBytes, aPacket.mDestination);
-}
-
-void
-AgentCore::OnAnswer(const FlowId& aId,
-                    AgentFlow& aFlow,
-                    const Packet& aPacket,
-                    Instant aNow)
-{
-  aFlow.mLastSeen = aNow;
-  if (aPacket.Answers()) {
-    const bool repeated = aFlow.mAnswered;
-    aFlow.mAnswered = true;
-    aFlow.mBackendSequence = aPacket.mSequence;
-    Reply(aFlow.mEntry,
-          aId,
-          aFlow.mCallerSequence,
-          aPacket.mSequence,
-          Refusal::None,
-          aNow);
-    DropAnswered();
-    if (!repeated) {
-      Decide(Verdict::Opened,
-             aId,
-             aFlow.mEntry,
-             Refusal::None,
-             aNow - aFlow.mOpenedAt);
-    }
-    return;
-  }
-  if (aFlow.mTentative && !aPacket.mReset) {
-    aFlow.mTentative = false;
-    aFlow.mOpen = true;
-    aFlow.mAnswered = true;
-    TellOwned(aId, aFlow);
-  }
-  const bool answers = aPacket.mLength > 0 || aPacket.mFin || aPacket.mReset;
-  if (answers && aFlow.mBusy) {
-    if (mLoad <= mStatus.Slots() && aFlow.mOpen) {
-      mServiceTime = (mServiceTime * 15 + (aNow - aFlow.mBusySince)) / 16;
-    }
-    SetBusy(aFlow, false, aNow);
-  }
-  aFlow.mBackendFin = aFlow.mBackendFin || aPacket.mFin || aPacket.mReset;
-}
-
-void
-AgentCore::OnReturned(const Packet& aPacket, Instant aNow)
-{
-  const FlowId id = FromCaller(aPacket);
-  const auto found = mFlows.find(id);
-  if (found == mFlows.end()) {
-    return;
-  }
-  const AgentFlow flow = found->second;
-  if (aPacket.Opens()) {
-    Erase(found);
-    mUnanswered = 0;
-    Reply(flow.mEntry, id, aPacket.mSequence, 0, Refusal::Full, aNow);
-    Decide(Verdict::TurnedAway,
-           id,
-           flow.mEntry,
-           Refusal::Full,
-           aNow - flow.mOpenedAt,
-           "returned");
-    return;
-  }
-  if (flow.mTentative) {
-    Erase(found);
-    if (aPacket.mMark != TransitMark::Locate) {
-      mOutput.SendToNode(flow.mEntry, OwnerNotice{ id, false });
-    }
-    return;
-  }
-  // The backend server has restarted, or has forgotten an idle flow. A reset
-  // is sent only once a heartbeat shows that it restarted.
-  SetBusy(found->second, false, aNow);
-  Decide(Verdict::NotOwned,
-         id,
-         flow.mEntry,
-         Refusal::None,
-         aNow - flow.mOpenedAt,
-         "returned");
-}
-
 HeartbeatOutcome
 AgentCore::OnHeartbeat(const Heartbeat& aHeartbeat, Instant aNow)
 {
@@ -434,126 +313,6 @@
   return mStatus.OnDeregister(aId);
 }
 
-std::optional<Instant>
-AgentCore::NextDeadline() const
-{
-  if (mPending.empty()) {
-    return std::nullopt;
-  }
-  return mPending.front().mDeadline;
-}
-
-void
-AgentCore::DropAnswered()
-{
-  while (!mPending.empty()) {
-    const auto found = mFlows.find(mPending.front().mFlow);
-    if (found != mFlows.end() && !found->second.mAnswered) {
-      return;
-    }
-    mPending.pop_front();
-  }
-}
-
-void
-AgentCore::OnTimer(Instant aNow)
-{
-  while (!mPending.empty() && mPending.front().mDeadline <= aNow) {
-    const PendingAnswer pending = mPending.front();
-    mPending.pop_front();
-    const auto found = mFlows.find(pending.mFlow);
-    if (found == mFlows.end() || found->second.mAnswered ||
-        found->second.mCallerSequence != pending.mCallerSequence) {
-      continue;
-    }
-    ++mUnanswered;
-    const AgentFlow& flow = found->second;
-    Reply(flow.mEntry,
-          pending.mFlow,
-          pending.mCallerSequence,
-          0,
-          Refusal::Silent,
-          aNow);
-    Decide(Verdict::TurnedAway,
-           pending.mFlow,
-           flow.mEntry,
-           Refusal::Silent,
-           aNow - flow.mOpenedAt,
-           "no-answer");
-    SetBusy(found->second, false, aNow);
-  }
-}
-
-void
-AgentCore::SetBusy(AgentFlow& aFlow, bool aBusy, Instant aNow)
-{
-  if (aFlow.mBusy == aBusy) {
-    return;
-  }
-  aFlow.mBusy = aBusy;
-  aFlow.mBusySince = aNow;
-  mLoad = aBusy ? mLoad + 1 : mLoad - 1;
-}
-
-void
-AgentCore::Erase(Flows::iterator aFlow)
-{
-  SetBusy(aFlow->second, false, aFlow->second.mLastSeen);
-  mFlows.erase(aFlow);
-}
-
-void
-AgentCore::ReleaseOpenings(Instant aNow)
-{
-  while (!mOpenings.empty() && mOpenings.front().mDeadline <= aNow) {
-    const PendingAnswer& opening = mOpenings.front();
-    const auto found = mFlows.find(opening.mFlow);
-    if (found != mFlows.end() && !found->second.mOpen &&
-        found->second.mCallerSequence == opening.mCallerSequence) {
-      SetBusy(found->second, false, aNow);
-    }
-    mOpenings.pop_front();
-  }
-}
-
-void
-AgentCore::Expire(Instant aNow)
-{
-  ReleaseOpenings(aNow);
-  const Duration idle = mReplica.Routes()->mIdleTimeout;
-  for (auto at = mFlows.begin(); at != mFlows.end();) {
-    AgentFlow& flow = at->second;
-    const Duration silence = aNow - flow.mLastSeen;
-    if (flow.mBusy &&
-        aNow - flow.mBusySince > (flow.mOpen ? kBusyLimit : kOpeningLimit)) {
-      SetBusy(flow, false, aNow);
-    }
-    Duration memory = idle;
-    if (flow.mDead) {
-      memory = kDeadMemory;
-    } else if (flow.mCallerFin && flow.mBackendFin) {
-      memory = kClosedMemory;
-    } else if (!flow.mOpen) {
-      memory = kOpeningLimit;
-    }
-    const auto next = std::next(at);
-    if (silence > memory) {
-      Erase(at);
-    }
-    at = next;
-  }
-}
-
-size_t
-AgentCore::OpenFlows() const
-{
-  return static_cast<size_t>(
-    std::ranges::count_if(mFlows, [](const auto& aEntry) {
-      const AgentFlow& flow = aEntry.second;
-      return !flow.mDead && (flow.mBusy || (flow.mOpen && !flow.mBackendFin));
-    }));
-}
-
 void
 AgentCore::Decide(Verdict aVerdict,
                   const FlowId& aId,
