Entry: the deadline of a forgotten flow does not touch its successor

Cause (found by reading): after a freeze the table may forget a flow before its overdue offer is judged; a later packet of the same addresses makes a flow without offers, whose last offer was then read. The test reads an empty vector without the change.

--- a/src/Flow/EntryCoreOffers.cpp
+++ b/src/Flow/EntryCoreOffers.cpp
@@ -371,7 +371,9 @@
     const FlowId id = mDeadlines.begin()->second;
     mDeadlines.erase(mDeadlines.begin());
     const auto found = mFlows.find(id);
-    if (found == mFlows.end()) {
+    // After a freeze the flow may have been forgotten, and be known again by a
+    // later packet.
+    if (found == mFlows.end() || found->second.mOffers.empty()) {
       continue;
     }
     found->second.mDeadline.reset();
--- a/tests/Flow/EntryCoreTest.cpp
+++ b/tests/Flow/EntryCoreTest.cpp
@@ -356,6 +356,18 @@
   BOOST_TEST(dead[0] == cluster::RecordName(silent));
 }
 
+// A frozen instance wakes with offers that are overdue and flows that have
+// expired: the deadline of a forgotten flow must not touch its successor.
+BOOST_AUTO_TEST_CASE(OverdueOfferOfAForgottenFlowIsIgnored)
+{
+  Open();
+  mNow += 5s;
+  mCore->Expire(mNow);
+  Data(1);
+  mCore->OnTimer(mNow);
+  BOOST_TEST(mDecisions.Count(Verdict::Unanswered) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(EndedFlowsAreForgotten)
 {
   Open();
