FlowModel: one timer for each entry instance

Cause: each packet armed a timer that armed itself again, so that timers multiplied and the Flow test took 49 s.

--- a/tests/Flow/FlowModel.cpp
+++ b/tests/Flow/FlowModel.cpp
@@ -100,15 +100,22 @@
   }
 
   EntryCore& Core() { return mCore; }
+  void Disarm() { mArmedFor.reset(); }
 
 private:
   void ScheduleTimer()
   {
     const auto deadline = mCore.NextDeadline();
-    if (!deadline) {
+    // One timer at a time: each expiry arms the next.
+    if (!deadline || (mArmedFor && *mArmedFor <= *deadline)) {
       return;
     }
-    mModel.At(*deadline, [this] {
+    mArmedFor = *deadline;
+    mModel.At(*deadline, [this, due = *deadline] {
+      if (mArmedFor != due) {
+        return;
+      }
+      mArmedFor.reset();
       mCore.OnTimer(mModel.mNow);
       ScheduleTimer();
     });
@@ -117,6 +124,7 @@
   FlowModel& mModel;
   size_t mIndex;
   EntryCore mCore;
+  std::optional<Instant> mArmedFor;
 };
 
 class FlowModel::Agent final : public AgentOutput
@@ -349,6 +357,9 @@
   RunUntil(start + aTime + 6s);
   mRequests.clear();
   mEvents.clear();
+  for (const auto& entry : mEntries) {
+    entry->Disarm();
+  }
   result.mOffers = mDecisions.Count(Verdict::Offered);
   result.mUnanswered = mDecisions.Count(Verdict::Unanswered);
   return result;
