Soak: real processes of snipepost-flowd under faults from outside (first form)

Processes are killed, stopped, paused and reloaded, links between instances cut, delayed and lossy by a loopback proxy, the store refuses, is slow, loses answers and its history.

--- a/include/snipepost/Http1/Server.h
+++ b/include/snipepost/Http1/Server.h
@@ -12,8 +12,13 @@
 
 using RequestHandler = std::function<Response(const Request&)>;
 
-/// An HTTP/1.1 server for short requests that are answered at once. Requests
-/// above 64 KiB, malformed ones and connections above the limit are closed.
+/// Sends the response to a request; called once, now or later. Destroying it
+/// without a call closes the connection.
+using Responder = std::function<void(const Response&)>;
+using DeferredHandler = std::function<void(const Request&, Responder)>;
+
+/// An HTTP/1.1 server for short requests. Requests above 64 KiB, malformed ones
+/// and connections above the limit are closed.
 class Server
 {
 public:
@@ -21,6 +26,10 @@
   Server(asio::io_context& aContext,
          const Address& aLocal,
          RequestHandler aHandler);
+  /// The same with responses that may come later.
+  Server(asio::io_context& aContext,
+         const Address& aLocal,
+         DeferredHandler aHandler);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -29,8 +29,8 @@
 AgentNode::AgentNode(asio::io_context& aContext, Node& aNode)
   : mNode(aNode)
   , mCore(OptionsOf(aNode.Settings()), aNode.State(), *this, aNode, aNode.Now())
-  , mPublisher(cluster::RecordName(aNode.Settings().mPackets),
-               aNode.Settings().mPackets.mIp)
+  , mPublisher(cluster::RecordName(aNode.Settings().Identity()),
+               aNode.Settings().Identity().mIp)
   , mBackendPackets(*this)
   , mSocket(aContext, aNode.Settings().mPackets)
   , mBackendSocket(aContext, *aNode.Settings().mOutbound)
@@ -123,7 +123,7 @@
   } else if (status.Known()) {
     cluster::BackendRecord record;
     record.mService = mNode.Settings().mService;
-    record.mAgent = mNode.Settings().mPackets;
+    record.mAgent = mNode.Settings().Identity();
     record.mDomain = mNode.Settings().mDomain;
     record.mState = status.Draining() ? cluster::BackendState::Draining
                                       : cluster::BackendState::Ready;
--- a/src/FlowDaemon/Node.cpp
+++ b/src/FlowDaemon/Node.cpp
@@ -75,7 +75,7 @@
   , mSettings(aSettings)
   , mLog(STDOUT_FILENO, aSettings.mLogRate, &WallMs)
   , mReplica(&platform::DecodeRouteConfig)
-  , mGossip(cluster::NodeIp(aSettings.mPackets.mIp),
+  , mGossip(cluster::NodeIp(aSettings.Identity().mIp),
             aSettings.mRole,
             SeedIps(aSettings),
             Now(),
--- a/src/FlowDaemon/NodeSettings.cpp
+++ b/src/FlowDaemon/NodeSettings.cpp
@@ -34,6 +34,11 @@
     .Add("name", &S::mName, "", "Name of the instance in log lines")
     .Add("failure-domain", &S::mDomain, "", "Failure domain of the instance")
     .Add("packets", &S::mPackets, "", "UDP address where packets arrive")
+    .Add("advertise",
+         &S::mAdvertised,
+         "",
+         "UDP address where other instances send packets, if not that of "
+         "packets")
     .Add("readiness", &S::mReadiness, "", "TCP address of the readiness probe")
     .Add("control",
          &S::mControl,
--- a/src/FlowDaemon/NodeSettings.h
+++ b/src/FlowDaemon/NodeSettings.h
@@ -20,6 +20,8 @@
   std::string mDomain;
   /// Where packets of callers (entry) or of entry instances (agent) arrive.
   Address mPackets;
+  /// Where other instances reach this one; empty when it is mPackets.
+  std::optional<Address> mAdvertised;
   Address mReadiness;
   /// Where the backend server sends its heartbeats; agents only.
   std::optional<Address> mControl;
@@ -41,6 +43,12 @@
   std::chrono::milliseconds mStopDelay{};
   /// Log lines a second; the rest is counted.
   uint64_t mLogRate = 0;
+
+  /// The address by which other instances know this one.
+  const Address& Identity() const
+  {
+    return mAdvertised ? *mAdvertised : mPackets;
+  }
 };
 
 /// Parses "entry" or "agent".
--- a/src/Http1/Server.cpp
+++ b/src/Http1/Server.cpp
@@ -32,7 +32,7 @@
 public:
   Impl(asio::io_context& aContext,
        const Address& aLocal,
-       RequestHandler aHandler)
+       DeferredHandler aHandler)
     : mAcceptor(aContext, ToTcp(aLocal), true)
     , mHandler(std::move(aHandler))
   {
@@ -123,12 +123,19 @@
       const Request request{ mParser.Method(),
                              std::move(mParser.mTarget),
                              std::move(mParser.mBody) };
-      const Response response = mServer->mHandler(request);
-      mOut = "HTTP/1.1 " + std::to_string(response.mStatus) + ' ' +
-             Phrase(response.mStatus) +
-             "\r\nContent-Type: " + response.mContentType +
-             "\r\nContent-Length: " + std::to_string(response.mBody.size()) +
-             "\r\n\r\n" + response.mBody;
+      mServer->mHandler(request,
+                        [self = shared_from_this()](const Response& aResponse) {
+                          self->Send(aResponse);
+                        });
+    }
+
+    void Send(const Response& aResponse)
+    {
+      mOut = "HTTP/1.1 " + std::to_string(aResponse.mStatus) + ' ' +
+             Phrase(aResponse.mStatus) +
+             "\r\nContent-Type: " + aResponse.mContentType +
+             "\r\nContent-Length: " + std::to_string(aResponse.mBody.size()) +
+             "\r\n\r\n" + aResponse.mBody;
       const bool keep = mParser.KeepAlive();
       mParser.Restart();
       asio::async_write(mSocket,
@@ -150,13 +157,26 @@
   };
 
   asio::ip::tcp::acceptor mAcceptor;
-  RequestHandler mHandler;
+  DeferredHandler mHandler;
   size_t mConnections = 0;
 };
 
 Server::Server(asio::io_context& aContext,
                const Address& aLocal,
                RequestHandler aHandler)
+  : Server(
+      aContext,
+      aLocal,
+      DeferredHandler([handler = std::move(aHandler)](const Request& aRequest,
+                                                      const Responder& aSend) {
+        aSend(handler(aRequest));
+      }))
+{
+}
+
+Server::Server(asio::io_context& aContext,
+               const Address& aLocal,
+               DeferredHandler aHandler)
   : mImpl(std::make_shared<Impl>(aContext, aLocal, std::move(aHandler)))
 {
   mImpl->Accept();
--- /dev/null
+++ b/tests/platform/soak/DatagramProxy.cpp
@@ -0,0 +1,92 @@
+#include "tests/platform/soak/DatagramProxy.h"
+
+#include <optional>
+#include <vector>
+
+namespace snipepost::soak {
+
+namespace {
+
+std::optional<size_t>
+NodeAt(const Layout& aLayout, const Address& aAddress)
+{
+  for (size_t node = 0; node < Layout::kNodes; ++node) {
+    if (aLayout.Real(node, 0).mIp == aAddress.mIp) {
+      return node;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+DatagramProxy::DatagramProxy(asio::io_context& aContext,
+                             const Layout& aLayout,
+                             const LinkFaults& aFaults,
+                             uint64_t aSeed)
+  : mContext(aContext)
+  , mLayout(aLayout)
+  , mFaults(aFaults)
+  , mRandom(aSeed)
+{
+  for (size_t node = 0; node < Layout::kNodes; ++node) {
+    for (size_t port = 0; port < kPorts.size(); ++port) {
+      mPorts[node][port] = std::make_unique<Port>(*this, node, port);
+    }
+  }
+}
+
+DatagramProxy::Port::Port(DatagramProxy& aProxy, size_t aNode, size_t aPort)
+  : mProxy(aProxy)
+  , mNode(aNode)
+  , mPort(kPorts[aPort])
+  , mSocket(aProxy.mContext, aProxy.mLayout.Advertised(aNode, mPort))
+{
+  mSocket.Start(*this);
+}
+
+void
+DatagramProxy::Port::OnDatagram(std::span<const uint8_t> aBytes,
+                                const Address& aFrom)
+{
+  const auto sender = NodeAt(mProxy.mLayout, aFrom);
+  if (!sender || mProxy.mFaults.Cut(*sender, mNode) ||
+      mProxy.mRandom.Chance(mProxy.mFaults.Loss())) {
+    return;
+  }
+  const size_t port = aFrom.mPort == kPorts[0] ? 0 : 1;
+  mProxy.Pass(
+    *mProxy.mPorts[*sender][port], aBytes, mProxy.mLayout.Real(mNode, mPort));
+}
+
+void
+DatagramProxy::Port::SendTo(std::span<const uint8_t> aBytes, const Address& aTo)
+{
+  mSocket.Send(aBytes, aTo);
+  mSocket.Flush();
+}
+
+void
+DatagramProxy::Pass(Port& aSender,
+                    std::span<const uint8_t> aBytes,
+                    const Address& aTo)
+{
+  if (!mFaults.Delayed()) {
+    aSender.SendTo(aBytes, aTo);
+    return;
+  }
+  const auto timer = std::make_shared<asio::steady_timer>(mContext);
+  timer->expires_after(mRandom.Jittered(LinkFaults::kDelay / 2, 1.0));
+  timer->async_wait(
+    [timer,
+     &aSender,
+     aTo,
+     bytes = std::vector<uint8_t>(aBytes.begin(), aBytes.end())](
+      const asio::error_code& aError) {
+      if (!aError) {
+        aSender.SendTo(bytes, aTo);
+      }
+    });
+}
+
+} // namespace snipepost::soak
--- /dev/null
+++ b/tests/platform/soak/DatagramProxy.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <array>
+#include <memory>
+
+#include <asio.hpp>
+
+#include <snipepost/Base/Random.h>
+#include <snipepost/Net/DatagramSocket.h>
+
+#include "tests/platform/soak/LinkFaults.h"
+
+namespace snipepost::soak {
+
+/// Holds the advertised addresses of all nodes and passes datagrams between
+/// them, so that each sees the other's advertised address as the sender.
+class DatagramProxy
+{
+public:
+  DatagramProxy(asio::io_context& aContext,
+                const Layout& aLayout,
+                const LinkFaults& aFaults,
+                uint64_t aSeed);
+
+private:
+  static constexpr std::array<uint16_t, 2> kPorts = { Layout::kPackets,
+                                                      Layout::kInternal };
+
+  /// One advertised address.
+  class Port final : public DatagramHandler
+  {
+  public:
+    Port(DatagramProxy& aProxy, size_t aNode, size_t aPort);
+    void OnDatagram(std::span<const uint8_t> aBytes,
+                    const Address& aFrom) override;
+    void SendTo(std::span<const uint8_t> aBytes, const Address& aTo);
+
+  private:
+    DatagramProxy& mProxy;
+    size_t mNode;
+    uint16_t mPort;
+    DatagramSocket mSocket;
+  };
+
+  void Pass(Port& aSender, std::span<const uint8_t> aBytes, const Address& aTo);
+
+  asio::io_context& mContext;
+  const Layout& mLayout;
+  const LinkFaults& mFaults;
+  Random mRandom;
+  std::array<std::array<std::unique_ptr<Port>, kPorts.size()>, Layout::kNodes>
+    mPorts;
+};
+
+} // namespace snipepost::soak
--- /dev/null
+++ b/tests/platform/soak/FlowSegment.cpp
@@ -0,0 +1,90 @@
+#include "tests/platform/soak/FlowSegment.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include <snipepost/Base/Bytes.h>
+
+#include "platform/PacketCodec.h"
+
+namespace snipepost::soak {
+
+namespace {
+
+constexpr uint32_t kKey = 0x5eed1234;
+constexpr size_t kFlags = 8;
+constexpr size_t kMark = 9;
+constexpr size_t kNote = 10;
+constexpr size_t kSum = 28;
+constexpr uint8_t kReturnedFlag = 1;
+constexpr uint8_t kResetFlag = 16;
+
+uint32_t
+Checksum(std::span<const uint8_t> aBytes)
+{
+  std::vector<uint8_t> covered(aBytes.begin(), aBytes.end());
+  covered[kFlags] &= static_cast<uint8_t>(~kReturnedFlag);
+  covered[kMark] = 0;
+  std::fill_n(covered.begin() + kNote, 4, 0);
+  std::fill_n(covered.begin() + kSum, 4, 0);
+  // 0 marks resets of the system.
+  return XXH32(covered.data(), covered.size(), kKey) | 1U;
+}
+
+} // namespace
+
+std::vector<uint8_t>
+Encode(const FlowSegment& aSegment)
+{
+  std::vector<uint8_t> bytes(platform::kPacketHeader + aSegment.mData.size());
+  ByteWriter out(bytes);
+  out.U32(aSegment.mSequence);
+  out.U32(aSegment.mAck);
+  out.U8(static_cast<uint8_t>(
+    (aSegment.mSyn ? 64 : 0) | (aSegment.mHasAck ? 32 : 0) |
+    (aSegment.mFin ? 8 : 0) | (aSegment.mReset ? 16 : 0)));
+  out.U8(0);
+  out.U32(0);
+  out.U16(aSegment.mTo.mPort);
+  out.U16(aSegment.mFrom.mPort);
+  out.U32(aSegment.mFrom.mIp);
+  out.U32(aSegment.mTo.mIp);
+  out.U16(static_cast<uint16_t>(aSegment.mData.size()));
+  out.U32(0);
+  std::ranges::copy(aSegment.mData, bytes.begin() + platform::kPacketHeader);
+  ByteWriter(std::span(bytes).subspan(kSum)).U32(Checksum(bytes));
+  return bytes;
+}
+
+Origin
+OriginOf(std::span<const uint8_t> aBytes)
+{
+  if (aBytes.size() < platform::kPacketHeader) {
+    return Origin::Forged;
+  }
+  const uint32_t sum = ByteReader(aBytes.subspan(kSum)).U32();
+  if (sum == 0 && aBytes.size() == platform::kPacketHeader &&
+      aBytes[kFlags] == kResetFlag) {
+    return Origin::System;
+  }
+  return sum == Checksum(aBytes) ? Origin::End : Origin::Forged;
+}
+
+std::string
+DataOf(std::span<const uint8_t> aBytes)
+{
+  const auto data = aBytes.subspan(platform::kPacketHeader);
+  return { data.begin(), data.end() };
+}
+
+std::vector<uint8_t>
+Returned(std::span<const uint8_t> aBytes)
+{
+  std::vector<uint8_t> bytes(aBytes.begin(), aBytes.end());
+  bytes[kFlags] |= kReturnedFlag;
+  bytes[kMark] = 0;
+  return bytes;
+}
+
+} // namespace snipepost::soak
--- /dev/null
+++ b/tests/platform/soak/SoakFaultKinds.cpp
@@ -0,0 +1,371 @@
+// The kinds of faults that a soak injects.
+
+#include "tests/platform/soak/Soak.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace snipepost::soak {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double kBurstRate = 320.0;
+constexpr std::array kStoreModes = {
+  StoreMode::Busy, StoreMode::Limited,      StoreMode::Silent,
+  StoreMode::Slow, StoreMode::LosesAnswers, StoreMode::LateWrites,
+};
+constexpr std::array kStreamFaults = {
+  StreamFault::Silent,
+  StreamFault::OneWay,
+  StreamFault::Reset,
+  StreamFault::Delayed,
+};
+
+} // namespace
+
+const std::vector<Soak::FaultKind>&
+Soak::Kinds()
+{
+  static const std::vector<FaultKind> sKinds = {
+    { "kill", &Soak::KillNode, 4 },
+    { "kill-many", &Soak::KillMany, 1 },
+    { "term", &Soak::StopNode, 4 },
+    { "freeze", &Soak::FreezeNode, 3 },
+    { "hup", &Soak::ReloadNode, 1 },
+    { "cut", &Soak::CutNode, 2 },
+    { "cut-one-way", &Soak::CutNodeOneWay, 2 },
+    { "cut-domain", &Soak::CutDomain, 1 },
+    { "loss", &Soak::LosePackets, 1 },
+    { "delay", &Soak::DelayPackets, 1 },
+    { "store-links", &Soak::BreakStoreLinks, 3 },
+    { "store", &Soak::FailStore, 3 },
+    { "compact", &Soak::CompactStore, 1 },
+    { "backend-crash", &Soak::CrashBackend, 2 },
+    { "machine-crash", &Soak::CrashBesideAgent, 2 },
+    { "backend-replace", &Soak::ReplaceBackend, 2 },
+    { "config", &Soak::ChangeConfig, 2 },
+    { "config-storm", &Soak::StormConfig, 1 },
+    { "evacuate", &Soak::EvacuateDomain, 1 },
+    { "burst", &Soak::Burst, 1 },
+  };
+  return sKinds;
+}
+
+std::vector<std::string>
+Soak::KindNames()
+{
+  std::vector<std::string> names;
+  for (const FaultKind& kind : Kinds()) {
+    names.emplace_back(kind.mName);
+  }
+  return names;
+}
+
+void
+Soak::InjectNext()
+{
+  mNextFault = mPromises.Now() +
+               mRandom.Jittered(
+                 std::chrono::duration_cast<Duration>(
+                   std::chrono::duration<double>(1.0 / mOptions.mFaultRate)),
+                 0.9);
+  std::vector<const FaultKind*> open;
+  for (const FaultKind& kind : Kinds()) {
+    if (mOptions.mKinds.empty() || mOptions.mKinds.contains(kind.mName)) {
+      open.insert(open.end(), kind.mWeight, &kind);
+    }
+  }
+  const FaultKind& kind = *open.at(mRandom.Below(open.size()));
+  Log(std::string("fault ") + kind.mName);
+  (this->*kind.mInject)();
+}
+
+Duration
+Soak::SomeTime()
+{
+  return std::chrono::milliseconds(300 + mRandom.Below(4000));
+}
+
+void
+Soak::After(Duration aTime, std::function<void()> aAction)
+{
+  const auto timer = std::make_shared<asio::steady_timer>(mContext);
+  std::erase_if(mTimers, [](const auto& aTimer) {
+    return aTimer->expiry() < std::chrono::steady_clock::now();
+  });
+  mTimers.push_back(timer);
+  timer->expires_after(aTime);
+  timer->async_wait(
+    [this, timer, action = std::move(aAction)](const asio::error_code& aError) {
+      if (!aError && !mStopping) {
+        action();
+      }
+    });
+}
+
+void
+Soak::Disturb(Duration aTime, std::function<void()> aEnd)
+{
+  mPromises.BeginFault();
+  After(aTime, [this, end = std::move(aEnd)] {
+    end();
+    mPromises.EndFault();
+  });
+}
+
+void
+Soak::Kill(size_t aNode, Duration aDownTime)
+{
+  if (!mNodes[aNode]->Running() || mDown.contains(aNode)) {
+    return;
+  }
+  Log("  " + Layout::NameOf(aNode));
+  Expect(aNode);
+  mDown.insert(aNode);
+  mNodes[aNode]->Signal(SIGKILL);
+  Disturb(aDownTime, [this, aNode] {
+    mDown.erase(aNode);
+    if (!mNodes[aNode]->Running()) {
+      mNodes[aNode]->Start();
+    }
+  });
+}
+
+void
+Soak::KillNode()
+{
+  Kill(SomeNode(), std::chrono::milliseconds(50 + mRandom.Below(2000)));
+}
+
+void
+Soak::KillMany()
+{
+  const Duration down = std::chrono::milliseconds(50 + mRandom.Below(1500));
+  const double share = mRandom.Chance(0.3) ? 1.0 : 0.55;
+  for (size_t node = 0; node < Layout::kNodes; ++node) {
+    if (mRandom.Fraction() < share) {
+      Kill(node, down);
+    }
+  }
+}
+
+void
+Soak::StopNode()
+{
+  const size_t node = SomeNode();
+  if (!mNodes[node]->Running() || mDown.contains(node) ||
+      mExpectedExit.contains(node)) {
+    return;
+  }
+  Log("  " + Layout::NameOf(node));
+  Expect(node);
+  mNodes[node]->Signal(SIGTERM);
+  Disturb(4s, [] {});
+}
+
+void
+Soak::FreezeNode()
+{
+  const size_t node = SomeNode();
+  if (!mFrozen.insert(node).second) {
+    return;
+  }
+  Log("  " + Layout::NameOf(node));
+  mNodes[node]->Signal(SIGSTOP);
+  Disturb(SomeTime(), [this, node] {
+    mFrozen.erase(node);
+    mNodes[node]->Signal(SIGCONT);
+  });
+}
+
+void
+Soak::ReloadNode()
+{
+  const size_t node = SomeNode();
+  WriteSettings(node, 1000 + mRandom.Below(1000));
+  mNodes[node]->Signal(SIGHUP);
+}
+
+void
+Soak::CutNode()
+{
+  const size_t node = SomeNode();
+  Log("  " + Layout::NameOf(node));
+  mFaults.CutIncoming(node, 1);
+  mFaults.CutOutgoing(node, 1);
+  Disturb(SomeTime(), [this, node] {
+    mFaults.CutIncoming(node, -1);
+    mFaults.CutOutgoing(node, -1);
+  });
+}
+
+void
+Soak::CutNodeOneWay()
+{
+  const size_t node = SomeNode();
+  const bool incoming = mRandom.Chance(0.5);
+  Log("  " + Layout::NameOf(node) + (incoming ? " incoming" : " outgoing"));
+  const auto change = [this, node, incoming](int aChange) {
+    if (incoming) {
+      mFaults.CutIncoming(node, aChange);
+    } else {
+      mFaults.CutOutgoing(node, aChange);
+    }
+  };
+  change(1);
+  Disturb(SomeTime(), [change] { change(-1); });
+}
+
+void
+Soak::CutDomain()
+{
+  const size_t domain = mRandom.Below(Layout::kDomains);
+  Log("  domain " + Layout::DomainName(domain));
+  mFaults.CutDomain(domain, 1);
+  Disturb(SomeTime(), [this, domain] { mFaults.CutDomain(domain, -1); });
+}
+
+void
+Soak::LosePackets()
+{
+  mFaults.Lose(1);
+  Disturb(SomeTime(), [this] { mFaults.Lose(-1); });
+}
+
+void
+Soak::DelayPackets()
+{
+  mFaults.Delay(1);
+  Disturb(SomeTime(), [this] { mFaults.Delay(-1); });
+}
+
+void
+Soak::BreakStoreLinks()
+{
+  const StreamFault fault =
+    kStreamFaults.at(mRandom.Below(kStreamFaults.size()));
+  const double share = mRandom.Chance(0.3) ? 1.0 : 0.35;
+  std::vector<size_t> nodes;
+  for (size_t node = 0; node < Layout::kNodes; ++node) {
+    if (mRandom.Fraction() < share) {
+      nodes.push_back(node);
+      mFaults.SetStore(node, fault);
+      if (fault == StreamFault::Reset) {
+        mStoreProxies[node]->ResetAll();
+      }
+    }
+  }
+  Log("  " + std::to_string(nodes.size()) + " nodes, mode " +
+      std::to_string(static_cast<int>(fault)));
+  Disturb(SomeTime(), [this, nodes] {
+    for (const size_t node : nodes) {
+      mFaults.SetStore(node, StreamFault::None);
+    }
+  });
+}
+
+void
+Soak::FailStore()
+{
+  const StoreMode mode = kStoreModes.at(mRandom.Below(kStoreModes.size()));
+  Log("  mode " + std::to_string(static_cast<int>(mode)));
+  mStore.SetMode(mode);
+  Disturb(SomeTime(), [this] { mStore.SetMode(StoreMode::Up); });
+}
+
+void
+Soak::CompactStore()
+{
+  mStore.Compact();
+}
+
+void
+Soak::CrashBackend()
+{
+  SoakBackend& backend = *mBackends[mRandom.Below(mBackends.size())];
+  backend.Crash();
+  const bool sameId = mRandom.Chance(0.3);
+  After(std::chrono::milliseconds(20 + mRandom.Below(3000)),
+        [&backend, sameId] {
+          if (!backend.Alive()) {
+            backend.Start(sameId);
+          }
+        });
+}
+
+void
+Soak::CrashBesideAgent()
+{
+  const size_t agent = mRandom.Below(mBackends.size());
+  SoakBackend& backend = *mBackends[agent];
+  const Duration down = std::chrono::milliseconds(100 + mRandom.Below(3000));
+  backend.Crash();
+  Kill(Layout::NodeOfAgent(agent), down);
+  After(down + 20ms, [&backend] {
+    if (!backend.Alive()) {
+      backend.Start(false);
+    }
+  });
+}
+
+void
+Soak::ReplaceBackend()
+{
+  SoakBackend& backend = *mBackends[mRandom.Below(mBackends.size())];
+  if (!backend.Alive()) {
+    return;
+  }
+  backend.Leave();
+  After(Promises::kDrainBound + 1s + SomeTime(), [&backend] {
+    if (!backend.Alive()) {
+      backend.Start(false);
+    }
+  });
+}
+
+void
+Soak::ChangeConfig()
+{
+  mExtraRoute = !mExtraRoute;
+  PutConfig();
+}
+
+void
+Soak::StormConfig()
+{
+  for (int i = 0; i < 10; ++i) {
+    After(i * 60ms, [this] { ChangeConfig(); });
+  }
+}
+
+void
+Soak::EvacuateDomain()
+{
+  const size_t domain = mRandom.Below(Layout::kDomains);
+  if (!mEvacuated.empty()) {
+    return;
+  }
+  const std::string name = Layout::DomainName(domain);
+  Log("  domain " + name);
+  mEvacuated.insert(domain);
+  mStore.Put("evacuations", name, boost::json::object());
+  mPromises.OnEvacuated(name);
+  // Long enough that the bound is judged after the faults.
+  After(std::chrono::milliseconds(6000 + mRandom.Below(16000)),
+        [this, domain, name] {
+          mEvacuated.erase(domain);
+          mStore.Remove("evacuations", name);
+          mPromises.OnTakenBack(name);
+        });
+}
+
+void
+Soak::Burst()
+{
+  mCallers.SetRate(kBurstRate);
+  After(2s, [this] { mCallers.SetRate(kUsualRate); });
+}
+
+} // namespace snipepost::soak
--- /dev/null
+++ b/tests/platform/soak/SoakRouter.cpp
@@ -0,0 +1,79 @@
+#include "tests/platform/soak/SoakRouter.h"
+
+namespace snipepost::soak {
+
+namespace {
+
+constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
+/// Misses that take an instance out of rotation.
+constexpr uint32_t kMostMisses = 2;
+
+} // namespace
+
+SoakRouter::SoakRouter(asio::io_context& aContext, const Layout& aLayout)
+  : mContext(aContext)
+  , mLayout(aLayout)
+{
+}
+
+void
+SoakRouter::Tick(Instant aNow)
+{
+  if (aNow < mNextProbe) {
+    return;
+  }
+  mNextProbe = aNow + kProbeInterval;
+  for (size_t entry = 0; entry < Layout::kEntries; ++entry) {
+    Probe(entry);
+  }
+}
+
+void
+SoakRouter::Probe(size_t aEntry)
+{
+  State& state = mEntries[aEntry];
+  state.mClient = std::make_unique<http1::Client>(
+    mContext, mLayout.Real(aEntry, Layout::kReadiness));
+  state.mClient->Call(
+    { "GET", "/-/ready", {} },
+    kProbeTimeout,
+    [&state](http1::Result aResult, const http1::Response& aResponse) {
+      const bool ready =
+        aResult == http1::Result::Ok && aResponse.mStatus == 200;
+      state.mMisses = ready ? 0 : state.mMisses + 1;
+    });
+}
+
+bool
+SoakRouter::InRotation(size_t aEntry) const
+{
+  return mEntries[aEntry].mMisses < kMostMisses;
+}
+
+size_t
+SoakRouter::EntryFor(const flow::FlowId& aFlow, size_t aDomain) const
+{
+  std::vector<size_t> all;
+  std::vector<size_t> ready;
+  std::vector<size_t> elsewhere;
+  for (size_t entry = 0; entry < Layout::kEntries; ++entry) {
+    if (Layout::DomainOf(entry) == aDomain) {
+      all.push_back(entry);
+      if (InRotation(entry)) {
+        ready.push_back(entry);
+      }
+    } else if (InRotation(entry)) {
+      elsewhere.push_back(entry);
+    }
+  }
+  // Fewer than half in rotation: all are used; none: those of other domains.
+  if (ready.empty()) {
+    ready = elsewhere.empty() ? all : elsewhere;
+  } else if (ready.size() * 2 < all.size()) {
+    ready = all;
+  }
+  return ready[flow::FlowHash(aFlow) % ready.size()];
+}
+
+} // namespace snipepost::soak
--- /dev/null
+++ b/tests/platform/soak/SoakStore.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <asio.hpp>
+#include <boost/json.hpp>
+
+#include <snipepost/Base/Random.h>
+#include <snipepost/Http1/Server.h>
+
+namespace snipepost::soak {
+
+/// How the store answers.
+enum class StoreMode
+{
+  Up,
+  /// Every call is refused with 503.
+  Busy,
+  /// Every call is refused with 429.
+  Limited,
+  /// No call is answered.
+  Silent,
+  /// Answers take 60 times as long.
+  Slow,
+  /// A third of the writes are done and not answered.
+  LosesAnswers,
+  /// A third of the writes are done seconds later and not answered.
+  LateWrites,
+};
+
+/// The platform's store: objects by kind and name, one revision counter,
+/// conditional writes, watches with a bounded history.
+class SoakStore
+{
+public:
+  SoakStore(asio::io_context& aContext, const Address& aListen, uint64_t aSeed);
+  ~SoakStore();
+
+  void SetMode(StoreMode aMode);
+  /// Forgets the history and ends the watches.
+  void Compact();
+
+  /// Writes of the operator, which are always served.
+  void Put(const std::string& aKind,
+           const std::string& aName,
+           boost::json::value aSpec);
+  void Remove(const std::string& aKind, const std::string& aName);
+
+  size_t Count(const std::string& aKind) const;
+  size_t Calls() const { return mCalls; }
+
+private:
+  struct Object
+  {
+    uint64_t mRevision = 0;
+    uint64_t mCreated = 0;
+    boost::json::value mSpec;
+  };
+
+  struct Event
+  {
+    uint64_t mRevision = 0;
+    std::string mKind;
+    boost::json::object mBody;
+  };
+
+  struct Target
+  {
+    std::string mKind;
+    std::string mName;
+    std::map<std::string, std::string> mQuery;
+  };
+
+  struct Watcher
+  {
+    std::string mKind;
+    uint64_t mSince = 0;
+    http1::Responder mSend;
+    std::unique_ptr<asio::steady_timer> mEnd;
+  };
+
+  static Target ParseTarget(std::string_view aPath);
+  static boost::json::object Describe(const std::string& aName,
+                                      const Object& aObject);
+
+  void OnCall(const http1::Request& aRequest, http1::Responder aSend);
+  void Serve(const http1::Request& aRequest, const http1::Responder& aSend);
+  void Watch(const Target& aTarget, const http1::Responder& aSend);
+  http1::Response Read(const Target& aTarget) const;
+  http1::Response Write(const http1::Request& aRequest);
+  http1::Response Replace(const Target& aTarget,
+                          const boost::json::object& aBody);
+  http1::Response EventsSince(const std::string& aKind, uint64_t aSince) const;
+  void Changed(const std::string& aKind, boost::json::object aEvent);
+  void After(Duration aTime, std::function<void()> aAction);
+
+  asio::io_context& mContext;
+  Random mRandom;
+  StoreMode mMode = StoreMode::Up;
+  uint64_t mRevision = 1;
+  /// Changes up to this revision are no longer known.
+  uint64_t mForgotten = 1;
+  std::map<std::string, std::map<std::string, Object>> mObjects;
+  std::deque<Event> mHistory;
+  std::vector<std::shared_ptr<Watcher>> mWatchers;
+  /// Calls that get no answer; their connections stay open.
+  std::vector<http1::Responder> mUnanswered;
+  size_t mCalls = 0;
+  http1::Server mServer;
+};
+
+} // namespace snipepost::soak
--- /dev/null
+++ b/tests/platform/soak/StreamProxy.cpp
@@ -0,0 +1,172 @@
+#include "tests/platform/soak/StreamProxy.h"
+
+#include <array>
+
+#include <snipepost/Net/DatagramSocket.h>
+
+namespace snipepost::soak {
+
+using asio::ip::tcp;
+
+/// One connection and its counterpart at the target.
+class StreamProxy::Link : public std::enable_shared_from_this<Link>
+{
+public:
+  Link(asio::io_context& aContext,
+       tcp::socket aClient,
+       std::function<StreamFault()> aFault)
+    : mClient{ std::move(aClient), asio::steady_timer(aContext) }
+    , mTarget{ tcp::socket(aContext), asio::steady_timer(aContext) }
+    , mFault(std::move(aFault))
+  {
+  }
+
+  void Start(const Address& aTarget)
+  {
+    mTarget.mSocket.async_connect(
+      ToTcp(aTarget),
+      [self = shared_from_this()](const asio::error_code& aError) {
+        if (aError) {
+          self->Reset();
+          return;
+        }
+        self->Pump(self->mClient, self->mTarget, true);
+        self->Pump(self->mTarget, self->mClient, false);
+      });
+  }
+
+  void Reset()
+  {
+    for (End* end : { &mClient, &mTarget }) {
+      asio::error_code ignored; // The socket goes away in any case.
+      end->mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+      end->mSocket.close(ignored);
+      end->mDelay.cancel();
+    }
+  }
+
+private:
+  struct End
+  {
+    tcp::socket mSocket;
+    asio::steady_timer mDelay;
+    std::array<char, 16384> mBytes{};
+    /// Nothing that this end sends passes any more.
+    bool mSilenced = false;
+  };
+
+  void Pump(End& aFrom, End& aTo, bool aRequests)
+  {
+    aFrom.mSocket.async_read_some(
+      asio::buffer(aFrom.mBytes),
+      [self = shared_from_this(), &aFrom, &aTo, aRequests](
+        const asio::error_code& aError, size_t aSize) {
+        if (aError) {
+          self->OnClosed(aFrom, aTo);
+          return;
+        }
+        self->OnRead(aFrom, aTo, aRequests, aSize);
+      });
+  }
+
+  void OnClosed(End& aFrom, End& aTo)
+  {
+    asio::error_code ignored; // The other end may have closed as well.
+    if (!aFrom.mSilenced) {
+      aTo.mSocket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+  }
+
+  void OnRead(End& aFrom, End& aTo, bool aRequests, size_t aSize)
+  {
+    const StreamFault fault = mFault();
+    aFrom.mSilenced = aFrom.mSilenced || fault == StreamFault::Silent ||
+                      (fault == StreamFault::OneWay && !aRequests);
+    if (fault == StreamFault::Reset) {
+      Reset();
+      return;
+    }
+    if (aFrom.mSilenced) {
+      Pump(aFrom, aTo, aRequests);
+      return;
+    }
+    aFrom.mDelay.expires_after(
+      fault == StreamFault::Delayed ? LinkFaults::kDelay : Duration::zero());
+    aFrom.mDelay.async_wait(
+      [self = shared_from_this(), &aFrom, &aTo, aRequests, aSize](
+        const asio::error_code& aError) {
+        if (!aError) {
+          self->Write(aFrom, aTo, aRequests, aSize);
+        }
+      });
+  }
+
+  void Write(End& aFrom, End& aTo, bool aRequests, size_t aSize)
+  {
+    asio::async_write(aTo.mSocket,
+                      asio::buffer(aFrom.mBytes, aSize),
+                      [self = shared_from_this(), &aFrom, &aTo, aRequests](
+                        const asio::error_code& aError, size_t) {
+                        if (!aError) {
+                          self->Pump(aFrom, aTo, aRequests);
+                        }
+                      });
+  }
+
+  End mClient;
+  End mTarget;
+  std::function<StreamFault()> mFault;
+};
+
+StreamProxy::StreamProxy(asio::io_context& aContext,
+                         const Address& aListen,
+                         const Address& aTarget,
+                         std::function<StreamFault()> aFault)
+  : mContext(aContext)
+  , mAcceptor(aContext, ToTcp(aListen), true)
+  , mTarget(aTarget)
+  , mFault(std::move(aFault))
+{
+  Accept();
+}
+
+StreamProxy::~StreamProxy()
+{
+  ResetAll();
+}
+
+void
+StreamProxy::ResetAll()
+{
+  for (const auto& link : mLinks) {
+    if (const auto alive = link.lock()) {
+      alive->Reset();
+    }
+  }
+  mLinks.clear();
+}
+
+void
+StreamProxy::Accept()
+{
+  mAcceptor.async_accept([this](const asio::error_code& aError,
+                                tcp::socket aSocket) {
+    if (aError == asio::error::operation_aborted) {
+      return;
+    }
+    if (!aError) {
+      std::erase_if(mLinks, [](const auto& aLink) { return aLink.expired(); });
+      const auto link =
+        std::make_shared<Link>(mContext, std::move(aSocket), mFault);
+      mLinks.push_back(link);
+      if (mFault() == StreamFault::Reset) {
+        link->Reset();
+      } else {
+        link->Start(mTarget);
+      }
+    }
+    Accept();
+  });
+}
+
+} // namespace snipepost::soak
--- /dev/null
+++ b/tests/platform/soak/StreamProxy.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include <asio.hpp>
+
+#include <snipepost/Base/Address.h>
+
+#include "tests/platform/soak/LinkFaults.h"
+
+namespace snipepost::soak {
+
+/// Passes connections on to a target as the present fault allows. A connection
+/// that was silenced stays so, as its missing bytes can't be made up for.
+class StreamProxy
+{
+public:
+  StreamProxy(asio::io_context& aContext,
+              const Address& aListen,
+              const Address& aTarget,
+              std::function<StreamFault()> aFault);
+  ~StreamProxy();
+
+  /// Resets all connections now.
+  void ResetAll();
+
+private:
+  class Link;
+
+  void Accept();
+
+  asio::io_context& mContext;
+  asio::ip::tcp::acceptor mAcceptor;
+  Address mTarget;
+  std::function<StreamFault()> mFault;
+  std::vector<std::weak_ptr<Link>> mLinks;
+};
+
+} // namespace snipepost::soak
