Nodes of a silent store ask again at random times; warm servers need no routes

Ruled out: processors (0.005 to 0.01 cores), the gossip (parts known everywhere 0.1 to 0.5 s after the first). Change: a list is awaited for 0.35 to 0.9 s at random; evacuations and records are read before routes; an agent whose server is warm takes flows without the routes. Both tests fail without the change.

--- a/include/snipepost/Cluster/Replica.h
+++ b/include/snipepost/Cluster/Replica.h
@@ -23,9 +23,11 @@
   Backends,
 };
 
-constexpr std::array<Part, 3> kParts = { Part::Routes,
-                                         Part::Evacuations,
-                                         Part::Backends };
+/// In the order in which a new node reads them: routes may take long to
+/// transfer, and an agent can do without them.
+constexpr std::array<Part, 3> kParts = { Part::Evacuations,
+                                         Part::Backends,
+                                         Part::Routes };
 
 constexpr size_t
 Index(Part aPart)
--- a/include/snipepost/Cluster/Store.h
+++ b/include/snipepost/Cluster/Store.h
@@ -54,8 +54,10 @@
 public:
   virtual ~Store() = default;
 
-  /// Reads all objects of a part.
-  virtual void List(Part aPart, std::function<void(ListResult)> aDone) = 0;
+  /// Reads all objects of a part; each page is awaited for aTimeout.
+  virtual void List(Part aPart,
+                    Duration aTimeout,
+                    std::function<void(ListResult)> aDone) = 0;
   /// Waits up to aWait for changes after aSince.
   virtual void Watch(Part aPart,
                      Revision aSince,
--- a/include/snipepost/Flow/AgentCore.h
+++ b/include/snipepost/Flow/AgentCore.h
@@ -127,6 +127,7 @@
                  cluster::NodeIp aFrom,
                  Instant aNow);
   Refusal Judge(const Packet& aPacket, Instant aNow);
+  bool Ready(Instant aNow) const;
   void Take(const Packet& aPacket,
             std::span<const uint8_t> aBytes,
             cluster::NodeIp aFrom,
--- a/src/Cluster/StoreSync.cpp
+++ b/src/Cluster/StoreSync.cpp
@@ -13,6 +13,12 @@
 /// nodes should know of its return within half a second.
 constexpr Duration kFirstWait = std::chrono::milliseconds(50);
 constexpr Duration kLongestWait = std::chrono::milliseconds(800);
+/// Bounds of the time that a list is awaited for. The store answers in 4 ms,
+/// and up to 80 times slower on bad days. Nodes that all started while it was
+/// silent would notice its return together, late, if they waited alike: with
+/// random times one of a few soon asks again and tells the others.
+constexpr Duration kShortestList = std::chrono::milliseconds(350);
+constexpr Duration kLongestList = std::chrono::milliseconds(900);
 
 } // namespace
 
@@ -88,8 +94,11 @@
   mParts[Index(aPart)].mBusy = true;
   mProbing = true;
   ++mCalls;
-  mStore.List(aPart,
-              [this, aPart](ListResult aResult) { OnList(aPart, aResult); });
+  const auto spread = std::chrono::duration_cast<Duration>(
+    (kLongestList - kShortestList) * mRandom.Fraction());
+  mStore.List(aPart, kShortestList + spread, [this, aPart](ListResult aResult) {
+    OnList(aPart, aResult);
+  });
 }
 
 void
--- a/src/Flow/AgentCore.cpp
+++ b/src/Flow/AgentCore.cpp
@@ -161,6 +161,17 @@
   return false;
 }
 
+// The routes tell how many flows a cold backend server bears; a warm one is
+// served without them, since the entry instance has looked up the route.
+bool
+AgentCore::Ready(Instant aNow) const
+{
+  const bool configured =
+    mReplica.Routes()->mVersion != cluster::ConfigVersion();
+  return mStatus.Known() && mReplica.Known(cluster::Part::Evacuations) &&
+         (configured || !mStatus.Cold(aNow));
+}
+
 Refusal
 AgentCore::Judge(const Packet& aPacket, Instant aNow)
 {
@@ -170,7 +181,7 @@
   AdmissionInputs inputs;
   inputs.mMark = aPacket.mMark;
   inputs.mCopy = aPacket.mAcknowledgement > 0;
-  inputs.mReady = mReplica.Complete() && mStatus.Known();
+  inputs.mReady = Ready(aNow);
   inputs.mServiceMatches = aPacket.mNote == ServiceTag(mOptions.mService);
   inputs.mEvacuated = mReplica.Evacuated(mOptions.mDomain);
   inputs.mDraining = mLeaving || mStatus.Draining();
--- a/tests/Cluster/StoreSyncTest.cpp
+++ b/tests/Cluster/StoreSyncTest.cpp
@@ -1,3 +1,4 @@
+#include <deque>
 #include <map>
 
 #include <boost/test/unit_test.hpp>
@@ -16,8 +17,11 @@
 class FakeStore final : public Store
 {
 public:
-  void List(Part aPart, std::function<void(ListResult)> aDone) override
+  void List(Part aPart,
+            Duration aTimeout,
+            std::function<void(ListResult)> aDone) override
   {
+    mTimeouts.push_back(aTimeout);
     mLists[aPart] = std::move(aDone);
   }
   void Watch(Part aPart,
@@ -58,6 +62,7 @@
   std::map<Part, std::function<void(ListResult)>> mLists;
   std::map<Part, std::function<void(WatchResult)>> mWatches;
   std::map<Part, Revision> mSince;
+  std::vector<Duration> mTimeouts;
 };
 
 struct Fixture : StoreListener
@@ -142,6 +147,61 @@
   BOOST_TEST(mSync.Healthy());
 }
 
+/// A node whose calls end by their timeout while the store is silent.
+struct LonelyNode : Fixture
+{
+  explicit LonelyNode(uint64_t aSeed)
+    : mOwn(mStore, mReplica, *this, aSeed)
+  {
+  }
+
+  /// Ends the call that is over, and makes the next one. True when one began.
+  bool Step(Instant aNow)
+  {
+    const size_t before = mStore.mTimeouts.size();
+    for (const Part part : kParts) {
+      if (mStore.mLists.contains(part) && aNow >= mOver[part]) {
+        mStore.AnswerList(part, { ReadOutcome::Lost, {} });
+      }
+    }
+    mOwn.Step(false, aNow);
+    for (const Part part : kParts) {
+      if (mStore.mTimeouts.size() > before && mStore.mLists.contains(part) &&
+          aNow >= mOver[part]) {
+        mOver[part] = aNow + mStore.mTimeouts.back();
+      }
+    }
+    return mStore.mTimeouts.size() > before;
+  }
+
+  StoreSync mOwn;
+  std::map<Part, Instant> mOver;
+};
+
+// Guards against nodes that all started in an outage and all wait for answers
+// that will not come while the store is already back: whichever moment it
+// returns at, one of 16 asks within half a second and can tell the others.
+BOOST_AUTO_TEST_CASE(ReturnOfASilentStoreIsNoticedByOneNodeSoon)
+{
+  std::deque<LonelyNode> nodes;
+  for (uint64_t seed = 1; seed <= 16; ++seed) {
+    nodes.emplace_back(seed);
+  }
+  Instant lastCall = mNow;
+  Duration longest{};
+  for (Instant now = mNow; now < mNow + 6s; now += 10ms) {
+    for (size_t i = 0; i < nodes.size(); ++i) {
+      // Each node's tick comes every 100 ms.
+      if ((now - mNow) / 10ms % 10 == static_cast<int64_t>(i % 10) &&
+          nodes[i].Step(now)) {
+        longest = std::max(longest, now - lastCall);
+        lastCall = now;
+      }
+    }
+  }
+  BOOST_TEST(longest.count() <= Duration(500ms).count());
+}
+
 // A node must not count as a watcher while its watch has failed.
 BOOST_AUTO_TEST_CASE(FailedWatchIsNotHealthy)
 {
--- a/tests/Flow/AgentCoreTest.cpp
+++ b/tests/Flow/AgentCoreTest.cpp
@@ -156,6 +156,28 @@
   BOOST_TEST((LastRefusal() == Refusal::NotReady));
 }
 
+// Guards against warm backend servers that stand idle after a restart of all
+// instances, while a configuration of thousands of routes is transferred. A
+// cold one waits, since the configuration tells how much it bears.
+BOOST_AUTO_TEST_CASE(WarmServerTakesFlowsBeforeTheRoutesAreKnown)
+{
+  cluster::Replica replica(&DecodeSampleConfig);
+  replica.ApplySnapshot(Part::Evacuations, { Revision(1), {} });
+  AgentOptions options;
+  options.mService = "desk";
+  AgentCore core(options, replica, *this, mDecisions, mNow);
+  Heartbeat beat;
+  beat.mService = "desk";
+  beat.mColdFor = 1s;
+  core.OnHeartbeat(beat, mNow);
+  Packet packet = Opening(kCaller, 1);
+  packet.mNote = ServiceTag("desk");
+  core.OnNodePacket(packet, mBytes, kEntry, mNow);
+  BOOST_TEST((LastRefusal() == Refusal::NotReady));
+  core.OnNodePacket(packet, mBytes, kEntry, mNow + 2s);
+  BOOST_TEST(mToBackend == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(DrainingServerGetsNoNewFlowButItsOwnPackets)
 {
   Beat();
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -44,10 +44,11 @@
   {
     cluster::ListResult result;
     bool done = false;
-    mClient.List(aPart, [&](cluster::ListResult aResult) {
-      result = std::move(aResult);
-      done = true;
-    });
+    mClient.List(
+      aPart, std::chrono::milliseconds(900), [&](cluster::ListResult aResult) {
+        result = std::move(aResult);
+        done = true;
+      });
     RunUntil(done);
     return result;
   }
--- a/tests/platform/soak/NodeProcess.cpp
+++ b/tests/platform/soak/NodeProcess.cpp
@@ -47,6 +47,8 @@
   const int log = open(mLogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
+  // Connections of the proxies would stay open in the child.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(arguments.front(), arguments.data());
   _exit(127);
 }
