Agents learn the service time from the rate of answers while no slot is free

At 10 requests for 2 slots all answers came about 30 ms after the objective (p50 229 ms, objective 200), although the slots were never idle. Change: while every slot is busy, the time between answers times the slots is the service time; the limit of the wait leaves room for the work itself.

--- a/include/snipepost/Flow/AgentCore.h
+++ b/include/snipepost/Flow/AgentCore.h
@@ -148,6 +148,8 @@
              Refusal aRefusal,
              Instant aNow);
   void TellOwned(const FlowId& aId, AgentFlow& aFlow);
+  /// Learns the service time from an answer that ends a request.
+  void LearnServiceTime(const AgentFlow& aFlow, Instant aNow);
   bool ChosenByCaller(const AgentFlow& aFlow, const Packet& aPacket) const;
   void SetBusy(AgentFlow& aFlow, bool aBusy, Instant aNow);
   /// Ends the load of openings that no packet of the caller followed.
@@ -178,6 +180,9 @@
   Flows mFlows;
   uint32_t mLoad = 0;
   Duration mServiceTime;
+  /// Since when every slot has been busy without an answer; nothing while one
+  /// is free.
+  std::optional<Instant> mSaturatedSince;
   std::deque<PendingAnswer> mPending;
   /// Openings that count as load until a deadline.
   std::deque<PendingAnswer> mOpenings;
--- a/src/Flow/AdmissionGate.cpp
+++ b/src/Flow/AdmissionGate.cpp
@@ -11,12 +11,12 @@
 /// Places of that queue kept for unsafe requests, whose worth is double.
 constexpr uint32_t kUnsafeReserve = 4;
 
-/// Part of the objective that a request may wait for a slot; the rest is for
-/// the paths, earlier offers and the work itself.
-constexpr double kWaitShare = 0.5;
+/// Part of the objective within which a slot is expected to be free and the
+/// work to be done; the rest is for the paths, earlier offers and longer work.
+constexpr double kWorkShare = 0.65;
 /// The same for copies: their answer is late in any case, and must not make
 /// that of a fresh request late as well.
-constexpr double kCopyWaitShare = 0.25;
+constexpr double kCopyWorkShare = 0.4;
 
 /// Longest wait that a last offer is taken for.
 Duration
@@ -25,8 +25,10 @@
   if (aInputs.mKind == cluster::RequestKind::Unsafe) {
     return aInputs.mTimeout / 2;
   }
-  const double share = aInputs.mCopy ? kCopyWaitShare : kWaitShare;
-  return std::chrono::duration_cast<Duration>(aInputs.mObjective * share);
+  const double share = aInputs.mCopy ? kCopyWorkShare : kWorkShare;
+  const auto limit =
+    std::chrono::duration_cast<Duration>(aInputs.mObjective * share);
+  return limit - aInputs.mServiceTime;
 }
 
 Refusal
--- a/src/Flow/AgentCoreAnswers.cpp
+++ b/src/Flow/AgentCoreAnswers.cpp
@@ -81,14 +81,36 @@
   }
   const bool answers = aPacket.mLength > 0 || aPacket.mFin || aPacket.mReset;
   if (answers && aFlow.mBusy) {
-    if (mLoad <= mStatus.Slots() && aFlow.mOpen) {
-      mServiceTime = (mServiceTime * 15 + (aNow - aFlow.mBusySince)) / 16;
-    }
+    LearnServiceTime(aFlow, aNow);
     SetBusy(aFlow, false, aNow);
+    mSaturatedSince.reset();
+    if (mLoad >= mStatus.Slots()) {
+      mSaturatedSince = aNow;
+    }
   }
   aFlow.mBackendFin = aFlow.mBackendFin || aPacket.mFin || aPacket.mReset;
 }
 
+// Alone in its slot, a request takes the service time. While all slots are busy
+// it also waits for one; then the slots end one request for each service time
+// divided by their number.
+void
+AgentCore::LearnServiceTime(const AgentFlow& aFlow, Instant aNow)
+{
+  if (!aFlow.mOpen) {
+    return;
+  }
+  Duration sample{};
+  if (mLoad <= mStatus.Slots()) {
+    sample = aNow - aFlow.mBusySince;
+  } else if (mSaturatedSince) {
+    sample = (aNow - *mSaturatedSince) * mStatus.Slots();
+  } else {
+    return;
+  }
+  mServiceTime = (mServiceTime * 15 + sample) / 16;
+}
+
 void
 AgentCore::OnReturned(const Packet& aPacket, Instant aNow)
 {
--- a/tests/Flow/OverloadTest.cpp
+++ b/tests/Flow/OverloadTest.cpp
@@ -11,6 +11,27 @@
 /// Requests a second that 12 servers with 2 slots and 25 ms serve.
 constexpr double kCapacity = 12 * 2 / 0.025;
 
+/// Requests a second that are served in time at aLoad times the capacity.
+double
+Goodput(const ModelOptions& aOptions, double aLoad)
+{
+  const double capacity =
+    static_cast<double>(aOptions.mServers * aOptions.mSlots) /
+    std::chrono::duration<double>(aOptions.mServiceTime).count();
+  FlowModel model(aOptions);
+  return static_cast<double>(model.Run(aLoad * capacity, 10s).mInTime) / 10.0;
+}
+
+double
+PeakGoodput(const ModelOptions& aOptions)
+{
+  double peak = 0.0;
+  for (const double load : { 0.8, 0.9, 1.0 }) {
+    peak = std::max(peak, Goodput(aOptions, load));
+  }
+  return peak;
+}
+
 } // namespace
 
 // Replays loads against the real decisions; the bounds are targets.
@@ -54,22 +75,30 @@
 // turned away instead of making everything late.
 BOOST_AUTO_TEST_CASE(GoodputHoldsBeyondCapacity)
 {
-  double peak = 0.0;
-  for (const double load : { 0.8, 0.9, 1.0 }) {
-    FlowModel model({});
-    const ModelResult result = model.Run(load * kCapacity, 10s);
-    peak = std::max(peak, static_cast<double>(result.mInTime) / 10.0);
-  }
+  const ModelOptions options;
+  const double peak = PeakGoodput(options);
   for (const double load : { 1.5, 3.0 }) {
-    FlowModel model({});
-    const ModelResult result = model.Run(load * kCapacity, 10s);
-    const double goodput = static_cast<double>(result.mInTime) / 10.0;
+    const double goodput = Goodput(options, load);
     BOOST_TEST_MESSAGE(load << " times capacity: " << goodput / peak
-                            << " of the peak, rejected " << result.mRejected);
+                            << " of the peak");
     BOOST_TEST(goodput >= 0.95 * peak);
   }
 }
 
+// Guards against queues that make every answer late after an outage: agents
+// that have just started assume 25 ms for a request, and cold servers take
+// longer. The load never leaves a slot free, so that the time must be learnt
+// from the rate of the answers.
+BOOST_AUTO_TEST_CASE(GoodputHoldsWhenServersAreSlowerThanAssumed)
+{
+  ModelOptions options;
+  options.mServiceTime = 50ms;
+  const double peak = PeakGoodput(options);
+  const double goodput = Goodput(options, 1.5);
+  BOOST_TEST_MESSAGE(goodput / peak << " of the peak");
+  BOOST_TEST(goodput >= 0.95 * peak);
+}
+
 // A failure domain that vanishes costs the callers some milliseconds, not the
 // 200 ms until the copy of the opening packet.
 BOOST_AUTO_TEST_CASE(LostFailureDomainIsPassedOver)
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -19,7 +19,10 @@
 tools/fault-matrix.py --check
 
 step build
-cmake -S . -B build -G Ninja >/dev/null
+# A second run on the same machine compiles only what has changed.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
+launcher=(-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
+cmake -S . -B build -G Ninja "${launcher[@]}" >/dev/null
 cmake --build build -- -j "$jobs"
 
 # Tests with a known fault are passed over, exactly those that KNOWN-RED.txt
@@ -44,7 +47,7 @@
 
 # The process tests measure time, so they run without the sanitizers only.
 step sanitizers
-cmake -S . -B build-sanitize -G Ninja -DSNIPEPOST_SANITIZE=ON \
+cmake -S . -B build-sanitize -G Ninja "${launcher[@]}" -DSNIPEPOST_SANITIZE=ON \
   -DCMAKE_BUILD_TYPE=None -DCMAKE_CXX_FLAGS='-O1 -g1' >/dev/null
 cmake --build build-sanitize --target unit_tests -- -j "$jobs"
 # LeakSanitizer can't run where tracing a process is forbidden; it says so.
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -2,7 +2,7 @@
 # Installs the compilers, tools and libraries that the project declares.
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build pkg-config clang-format clang-tidy
+  g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
   libasio-dev libboost1.81-dev libfmt-dev libhttp-parser-dev libboost-log1.81-dev
   libboost-program-options1.81-dev libboost-json1.81-dev
   libboost-test1.81-dev libnghttp2-dev libnghttp3-dev libngtcp2-dev
