snipepost-flowctl: status, explain and audit for instances on the users' platform

status asks one instance and all that it knows of, explain turns the log lines of a flow into its chain and cause, audit lists the operator's changes with the first and last instance that adopted them. Instances name their role and their peers in /status.

--- /dev/null
+++ b/src/FlowCtl/ChangeHistory.cpp
@@ -0,0 +1,82 @@
+#include "src/FlowCtl/ChangeHistory.h"
+
+namespace snipepost::flowctl {
+
+namespace {
+
+constexpr std::string_view kFirstSnapshot = "first snapshot";
+
+bool
+IsOperatorChange(const LogLine& aLine)
+{
+  const std::string part = aLine.Field("part");
+  return aLine.mEvent == "state-changed" &&
+         (part == "routes" || part == "evacuations") &&
+         aLine.Field("change") != kFirstSnapshot;
+}
+
+/// The failure domain of "evacuated NAME" and "removed NAME".
+std::string
+DomainOf(const std::string& aChange)
+{
+  return aChange.substr(aChange.rfind(' ') + 1);
+}
+
+/// The change that a line tells of, if it is known already. An evacuation
+/// counts as another one after the failure domain was taken back; instances
+/// that were behind may still report the earlier one.
+AppliedChange*
+FindChange(std::vector<AppliedChange>& aChanges,
+           const std::string& aPart,
+           const std::string& aText,
+           uint64_t aRevision)
+{
+  AppliedChange* same = nullptr;
+  AppliedChange* opposite = nullptr;
+  for (AppliedChange& change : aChanges) {
+    if (change.mPart != aPart) {
+      continue;
+    }
+    if (change.mChange == aText) {
+      same = &change;
+    } else if (aPart == "evacuations" &&
+               DomainOf(change.mChange) == DomainOf(aText)) {
+      opposite = &change;
+    }
+  }
+  const bool reversed = same && opposite &&
+                        opposite->mRevision > same->mRevision &&
+                        aRevision > opposite->mRevision;
+  return reversed ? nullptr : same;
+}
+
+} // namespace
+
+std::vector<AppliedChange>
+ChangesIn(const std::vector<LogLine>& aLines)
+{
+  std::vector<AppliedChange> changes;
+  for (const LogLine& line : aLines) {
+    if (!IsOperatorChange(line)) {
+      continue;
+    }
+    const std::string part = line.Field("part");
+    const std::string text = line.Field("change");
+    const auto revision = static_cast<uint64_t>(line.Number("revision"));
+    AppliedChange* change = FindChange(changes, part, text, revision);
+    if (!change) {
+      change = &changes.emplace_back();
+      change->mPart = part;
+      change->mRevision = revision;
+      change->mChange = text;
+      change->mFirst = line.mTime;
+      change->mFirstInstance = line.mInstance;
+    }
+    change->mLast = line.mTime;
+    change->mLastInstance = line.mInstance;
+    ++change->mInstances;
+  }
+  return changes;
+}
+
+} // namespace snipepost::flowctl
--- a/src/FlowDaemon/Node.cpp
+++ b/src/FlowDaemon/Node.cpp
@@ -385,6 +385,7 @@
 {
   boost::json::object status = {
     { "name", mSettings.mName },
+    { "role", mSettings.mRole == cluster::NodeRole::Entry ? "entry" : "agent" },
     { "domain", mSettings.mDomain },
     { "config", mReplica.Routes()->mVersion.Value() },
     { "backends", mReplica.Backends().size() },
@@ -396,6 +397,16 @@
     evacuated.emplace_back(domain);
   }
   status["evacuated"] = std::move(evacuated);
+  boost::json::array entries;
+  for (const cluster::NodeIp& entry : mGossip.Entries()) {
+    entries.emplace_back(IpText(entry));
+  }
+  status["entries"] = std::move(entries);
+  boost::json::array agents;
+  for (const auto& [name, record] : mReplica.Backends()) {
+    agents.emplace_back(IpText(cluster::NodeIp(record.mAgent.mIp)));
+  }
+  status["agents"] = std::move(agents);
   return boost::json::serialize(status);
 }
 
