Metrics: calls to the store by kind and answer, and their time

A decorator of the store counts every call once it has ended, in place of a counter of writes and a gauge of reads that did not tell refusals from answers.

--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -161,7 +161,6 @@
       cluster::WriteOutcome::Unknown, std::nullopt, mNode.Now());
     return;
   }
-  mNode.Metrics().mStoreWrites.Add();
   mNode.Store().Write(
     mPublisher.Name(), *write, [this](cluster::WriteResult aResult) {
       OnWritten(std::move(aResult));
--- a/src/FlowDaemon/EntryNode.cpp
+++ b/src/FlowDaemon/EntryNode.cpp
@@ -130,7 +130,6 @@
   cluster::RecordWrite write;
   write.mAction = cluster::RecordWrite::Action::Remove;
   write.mExpected = stored->mRevision;
-  mNode.Metrics().mStoreWrites.Add();
   mNode.Store().Write(name, write, [this, name](cluster::WriteResult aResult) {
     mNode.Log().Write(
       "dead-record-cleared",
--- /dev/null
+++ b/src/FlowDaemon/MeteredStore.cpp
@@ -0,0 +1,80 @@
+#include "src/FlowDaemon/MeteredStore.h"
+
+#include <chrono>
+
+namespace snipepost {
+
+namespace {
+
+std::string
+Label(const std::string& aName, std::string_view aValue)
+{
+  return aName + "=\"" + std::string(aValue) + '"';
+}
+
+} // namespace
+
+template<typename Outcome>
+MeteredStore::Kind
+MeteredStore::AddKind(Registry& aRegistry, const std::string& aName)
+{
+  Kind kind;
+  for (size_t i = 0; i < kOutcomes; ++i) {
+    const auto answer = cluster::ToString(static_cast<Outcome>(i));
+    kind.mAnswers[i] = &aRegistry.AddCounter(
+      "snipepost_store_calls_total",
+      "Calls to the store that have ended",
+      Label("call", aName) + ',' + Label("answer", answer));
+  }
+  kind.mTime = &aRegistry.AddLatency("snipepost_store_call_seconds",
+                                     "Time of calls to the store",
+                                     Label("call", aName));
+  return kind;
+}
+
+template<typename Result>
+std::function<void(Result)>
+MeteredStore::Count(Kind& aKind, std::function<void(Result)> aDone)
+{
+  const auto start = std::chrono::steady_clock::now();
+  return [&aKind, start, done = std::move(aDone)](Result aResult) {
+    aKind.mAnswers.at(static_cast<size_t>(aResult.mOutcome))->Add();
+    aKind.mTime->Record(std::chrono::steady_clock::now() - start);
+    done(std::move(aResult));
+  };
+}
+
+MeteredStore::MeteredStore(cluster::Store& aStore, Registry& aRegistry)
+  : mStore(aStore)
+  , mLists(AddKind<cluster::ReadOutcome>(aRegistry, "list"))
+  , mWatches(AddKind<cluster::ReadOutcome>(aRegistry, "watch"))
+  , mWrites(AddKind<cluster::WriteOutcome>(aRegistry, "write"))
+{
+}
+
+void
+MeteredStore::List(cluster::Part aPart,
+                   Duration aTimeout,
+                   std::function<void(cluster::ListResult)> aDone)
+{
+  mStore.List(aPart, aTimeout, Count(mLists, std::move(aDone)));
+}
+
+void
+MeteredStore::Watch(cluster::Part aPart,
+                    cluster::Revision aSince,
+                    Duration aWait,
+                    std::function<void(cluster::WatchResult)> aDone)
+{
+  mStore.Watch(aPart, aSince, aWait, Count(mWatches, std::move(aDone)));
+}
+
+void
+MeteredStore::Write(const std::string& aName,
+                    const cluster::RecordWrite& aWrite,
+                    std::function<void(cluster::WriteResult)> aDone)
+{
+  mStore.Write(aName, aWrite, Count(mWrites, std::move(aDone)));
+}
+
+} // namespace snipepost
--- a/src/FlowDaemon/Node.cpp
+++ b/src/FlowDaemon/Node.cpp
@@ -80,7 +80,8 @@
             SeedIps(aSettings),
             Now(),
             RandomSeed())
-  , mStore(aContext, aSettings.mStore)
+  , mStoreClient(aContext, aSettings.mStore)
+  , mStore(mStoreClient, mMetrics.mRegistry)
   , mSync(mStore, mReplica, *this, RandomSeed())
   , mSocket(aContext, WithPort(aSettings.mPackets, aSettings.mInternalPort))
   , mServer(aContext,
@@ -355,7 +356,6 @@
   if (!relayed) {
     return { kBadRequest, {} };
   }
-  mMetrics.mStoreWrites.Add();
   mStore.Write(
     relayed->mName,
     relayed->mWrite,
@@ -370,7 +370,6 @@
 void
 Node::UpdateGauges()
 {
-  mMetrics.mStoreCalls.Set(static_cast<double>(mSync.Calls()));
   mMetrics.mStoreReachable.Set(mSync.Reachable() ? 1.0 : 0.0);
   mMetrics.mConfigVersion.Set(
     static_cast<double>(mReplica.Routes()->mVersion.Value()));
--- a/src/FlowDaemon/Node.h
+++ b/src/FlowDaemon/Node.h
@@ -19,6 +19,7 @@
 
 #include "platform/StoreClient.h"
 #include "src/FlowDaemon/EventLog.h"
+#include "src/FlowDaemon/MeteredStore.h"
 #include "src/FlowDaemon/NodeMetrics.h"
 #include "src/FlowDaemon/NodeSettings.h"
 
@@ -116,7 +117,8 @@
   NodeMetrics mMetrics;
   cluster::Replica mReplica;
   cluster::GossipCore mGossip;
-  platform::StoreClient mStore;
+  platform::StoreClient mStoreClient;
+  MeteredStore mStore;
   cluster::StoreSync mSync;
   DatagramSocket mSocket;
   http1::Server mServer;
--- a/src/FlowDaemon/NodeMetrics.cpp
+++ b/src/FlowDaemon/NodeMetrics.cpp
@@ -17,12 +17,8 @@
   , mRejectedHeartbeats(
       mRegistry.AddCounter("snipepost_rejected_heartbeats_total",
                            "Heartbeats that are malformed or out of date"))
-  , mStoreWrites(mRegistry.AddCounter("snipepost_store_writes_total",
-                                      "Writes sent to the store"))
   , mPeerFetches(mRegistry.AddCounter("snipepost_peer_fetches_total",
                                       "Parts of the state asked of a peer"))
-  , mStoreCalls(mRegistry.AddGauge("snipepost_store_reads",
-                                   "Lists and watches sent to the store"))
   , mStoreReachable(mRegistry.AddGauge("snipepost_store_reachable",
                                        "1 while the store answers"))
   , mConfigVersion(mRegistry.AddGauge("snipepost_config_version",
--- a/src/FlowDaemon/NodeMetrics.h
+++ b/src/FlowDaemon/NodeMetrics.h
@@ -27,9 +27,7 @@
   Counter& mMalformedMessages;
   Counter& mHeartbeats;
   Counter& mRejectedHeartbeats;
-  Counter& mStoreWrites;
   Counter& mPeerFetches;
-  Gauge& mStoreCalls;
   Gauge& mStoreReachable;
   Gauge& mConfigVersion;
   Gauge& mEvacuations;
