--- a/tests/platform/NodeTest.cpp
+++ b/tests/platform/NodeTest.cpp
@@ -1,15 +1,15 @@
 #include <chrono>
-#include <map>
 #include <optional>
 
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <snipepost/Base/Bytes.h>
 #include <snipepost/Http1/Client.h>
 
 #include "src/FlowDaemon/AgentNode.h"
 #include "src/FlowDaemon/EntryNode.h"
+#include "tests/platform/soak/FlowSegment.h"
+#include "tests/platform/soak/SoakStore.h"
 
 using namespace snipepost;
 using namespace std::chrono_literals;
@@ -29,97 +29,8 @@
 constexpr uint16_t kOutbound = 38162;
 constexpr uint16_t kInternal = 38720;
 constexpr uint16_t kStorePort = 38169;
-
-/// The store: serves objects, answers watches at once, keeps writes.
-class FakeStore
-{
-public:
-  explicit FakeStore(asio::io_context& aContext)
-    : mServer(
-        aContext,
-        { kStoreIp, kStorePort },
-        [this](const http1::Request& aRequest) { return Answer(aRequest); })
-  {
-    Put("config",
-        "main",
-        R"({"version":2,"routes":[{"name":"r","host":"198.18.0.1",)"
-        R"("path_prefix":"/443/","type":"safe","timeout_ms":1000,)"
-        R"("target_latency_ms":150,"priority":1,"service":"desk"}],)"
-        R"("services":[{"name":"desk","max_connections":100}]})");
-  }
-
-  void Put(const std::string& aKind,
-           const std::string& aName,
-           const std::string& aSpec)
-  {
-    mObjects[aKind][aName] = { ++mRevision, json::parse(aSpec) };
-  }
-  void Remove(const std::string& aKind, const std::string& aName)
-  {
-    ++mRevision;
-    mObjects[aKind].erase(aName);
-  }
-  size_t Count(const std::string& aKind) { return mObjects[aKind].size(); }
-
-  bool mDown = false;
-  size_t mCalls = 0;
-
-private:
-  struct Object
-  {
-    uint64_t mRevision = 0;
-    json::value mSpec;
-  };
-
-  static json::object Describe(const std::string& aName, const Object& aObject)
-  {
-    return { { "meta", { { "name", aName }, { "rev", aObject.mRevision } } },
-             { "spec", aObject.mSpec } };
-  }
-
-  http1::Response Answer(const http1::Request& aRequest)
-  {
-    ++mCalls;
-    if (mDown) {
-      return { 503, "{}" };
-    }
-    std::string path = aRequest.mPath.substr(sizeof "/-/objects/" - 1);
-    const std::string query =
-      path.find('?') == std::string::npos ? "" : path.substr(path.find('?'));
-    path = path.substr(0, path.find('?'));
-    const size_t slash = path.find('/');
-    const std::string kind = path.substr(0, slash);
-    if (aRequest.mMethod == "GET") {
-      // A watch that is behind needs a list again.
-      return query.starts_with("?watch=") ? http1::Response{ 410, "{}" }
-                                          : List(kind);
-    }
-    if (aRequest.mMethod == "DELETE") {
-      Remove(kind, path.substr(slash + 1));
-      return { 200, "{}" };
-    }
-    const json::object body = json::parse(aRequest.mBody).as_object();
-    const std::string name(body.at("meta").as_object().at("name").as_string());
-    Put(kind, name, json::serialize(body.at("spec")));
-    return { 200, json::serialize(Describe(name, mObjects[kind][name])) };
-  }
-
-  http1::Response List(const std::string& aKind)
-  {
-    json::array items;
-    for (const auto& [name, object] : mObjects[aKind]) {
-      items.push_back(Describe(name, object));
-    }
-    return { 200,
-             json::serialize(json::object{ { "items", std::move(items) },
-                                           { "more", false },
-                                           { "current_rev", mRevision } }) };
-  }
-
-  uint64_t mRevision = 1;
-  std::map<std::string, std::map<std::string, Object>> mObjects;
-  http1::Server mServer;
-};
+constexpr uint8_t kSyn = 64;
+constexpr uint8_t kAck = 32;
 
 /// Keeps the datagrams that come to an address.
 class Receiver : public DatagramHandler
@@ -153,20 +64,14 @@
             uint32_t aSequence,
             uint32_t aAck)
 {
-  std::vector<uint8_t> bytes(32);
-  ByteWriter out(bytes);
-  out.U32(aSequence);
-  out.U32(aAck);
-  out.U8(aFlags);
-  out.U8(0);
-  out.U32(0);
-  out.U16(aTo.mPort);
-  out.U16(aFrom.mPort);
-  out.U32(aFrom.mIp);
-  out.U32(aTo.mIp);
-  out.U16(0);
-  out.U32(0xa1b2c3d5);
-  return bytes;
+  soak::FlowSegment segment;
+  segment.mFrom = aFrom;
+  segment.mTo = aTo;
+  segment.mSequence = aSequence;
+  segment.mAck = aAck;
+  segment.mSyn = (aFlags & kSyn) != 0;
+  segment.mHasAck = (aFlags & kAck) != 0;
+  return soak::Encode(segment);
 }
 
 NodeSettings
@@ -205,7 +110,7 @@
 struct Deployment
 {
   explicit Deployment(const NodeSettings& aAgent = AgentSettings())
-    : mStore(mContext)
+    : mStore(mContext, { kStoreIp, kStorePort }, 1)
     , mEntryNode(mContext, Common(kEntryIp))
     , mAgentNode(mContext, aAgent)
     , mEntry(mContext, mEntryNode)
@@ -213,6 +118,13 @@
     , mBackend(mContext, { kBackendIp, kPackets })
     , mCallers(mContext, { kCallerIp, kPackets })
   {
+    mStore.Put(
+      "config",
+      "main",
+      json::parse(R"({"version":2,"routes":[{"name":"r","host":"198.18.0.1",)"
+                  R"("path_prefix":"/443/","type":"safe","timeout_ms":1000,)"
+                  R"("target_latency_ms":150,"priority":1,"service":"desk"}],)"
+                  R"("services":[{"name":"desk","max_connections":100}]})"));
     mEntryNode.Start(mEntry);
     mAgentNode.Start(mAgent);
   }
@@ -259,7 +171,7 @@
   }
 
   asio::io_context mContext;
-  FakeStore mStore;
+  soak::SoakStore mStore;
   Node mEntryNode;
   Node mAgentNode;
   EntryNode mEntry;
@@ -277,16 +189,16 @@
   Announce();
   BOOST_TEST(mStore.Count("backends") == 1U);
   BOOST_TEST(Call({ kEntryIp, kReadiness }, { "GET", "/-/ready", "" }) == 200U);
-  mCallers.Send(PacketBytes(kCaller, kRoute, 64, 100, 0),
+  mCallers.Send(PacketBytes(kCaller, kRoute, kSyn, 100, 0),
                 { kEntryIp, kPackets });
   RunUntil([&] { return mBackend.mDatagrams.size() == 1; });
-  mBackend.Send(PacketBytes(kRoute, kCaller, 96, 5000, 101),
+  mBackend.Send(PacketBytes(kRoute, kCaller, kSyn | kAck, 5000, 101),
                 { kAgentIp, kOutbound });
   RunUntil([&] { return mCallers.mDatagrams.size() == 1; });
   // The answer is what the backend server sent, to the letter.
   BOOST_TEST(mCallers.mDatagrams[0] ==
-             PacketBytes(kRoute, kCaller, 96, 5000, 101));
-  mCallers.Send(PacketBytes(kCaller, kRoute, 32, 101, 5001),
+             PacketBytes(kRoute, kCaller, kSyn | kAck, 5000, 101));
+  mCallers.Send(PacketBytes(kCaller, kRoute, kAck, 101, 5001),
                 { kEntryIp, kPackets });
   RunUntil([&] { return mBackend.mDatagrams.size() == 2; });
 }
@@ -295,7 +207,7 @@
 {
   Announce();
   BOOST_TEST(Beat("draining", 2) == 200U);
-  mCallers.Send(PacketBytes(kCaller, kRoute, 64, 100, 0),
+  mCallers.Send(PacketBytes(kCaller, kRoute, kSyn, 100, 0),
                 { kEntryIp, kPackets });
   RunUntil([&] { return mCallers.mDatagrams.size() == 1; });
   BOOST_TEST(mCallers.mDatagrams[0][8] == 16); // A reset.
@@ -308,7 +220,7 @@
   Announce();
   mEntry.StartStopping();
   BOOST_TEST(Call({ kEntryIp, kReadiness }, { "GET", "/-/ready", "" }) == 503U);
-  mCallers.Send(PacketBytes(kCaller, kRoute, 64, 100, 0),
+  mCallers.Send(PacketBytes(kCaller, kRoute, kSyn, 100, 0),
                 { kEntryIp, kPackets });
   RunUntil([&] { return mBackend.mDatagrams.size() == 1; });
 }
@@ -345,12 +257,12 @@
 BOOST_AUTO_TEST_CASE(StoreOutageIsSurvived)
 {
   Announce();
-  mStore.mDown = true;
-  const size_t before = mStore.mCalls;
+  mStore.SetMode(soak::StoreMode::Busy);
+  const size_t before = mStore.Calls();
   const auto end = std::chrono::steady_clock::now() + 1s;
   RunUntil([&] { return std::chrono::steady_clock::now() >= end; });
-  BOOST_TEST(mStore.mCalls - before < 60U);
-  mCallers.Send(PacketBytes(kCaller, kRoute, 64, 100, 0),
+  BOOST_TEST(mStore.Calls() - before < 60U);
+  mCallers.Send(PacketBytes(kCaller, kRoute, kSyn, 100, 0),
                 { kEntryIp, kPackets });
   RunUntil([&] { return mBackend.mDatagrams.size() == 1; });
 }
@@ -377,7 +289,7 @@
 {
   Announce();
   BOOST_TEST(mStore.Count("backends") == 1U);
-  mCallers.Send(PacketBytes(kCaller, kRoute, 64, 100, 0),
+  mCallers.Send(PacketBytes(kCaller, kRoute, kSyn, 100, 0),
                 { kEntryIp, kPackets });
   RunUntil([&] { return mBackend.mDatagrams.size() == 1; });
 }
