--- a/tests/FlowDaemon/NodeSettingsTest.cpp
+++ b/tests/FlowDaemon/NodeSettingsTest.cpp
@@ -95,4 +95,20 @@
   BOOST_TEST(!report.mErrors.empty());
 }
 
+// Others must reach an instance where it says, not where it binds.
+BOOST_AUTO_TEST_CASE(AdvertisedAddressIsTheIdentity)
+{
+  for (const std::string advertised : { "", "10.0.0.9:9000" }) {
+    const File file(kEntry + "advertise = " + advertised + "\n");
+    NodeSettings settings;
+    const auto report =
+      LoadNodeSettings({ "--role", "entry", "--settings-file", file.mPath },
+                       kNoEnvironment,
+                       settings);
+    BOOST_TEST(report.mErrors.empty());
+    BOOST_TEST(ToString(settings.Identity()) ==
+               (advertised.empty() ? "10.0.0.1:8172" : advertised));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/soak/SoakFaultKinds.cpp
+++ b/tests/platform/soak/SoakFaultKinds.cpp
@@ -12,15 +12,31 @@
 namespace {
 
 constexpr double kBurstRate = 320.0;
+struct NamedStoreMode
+{
+  StoreMode mMode;
+  const char* mName;
+};
+
+struct NamedStreamFault
+{
+  StreamFault mFault;
+  const char* mName;
+};
+
 constexpr std::array kStoreModes = {
-  StoreMode::Busy, StoreMode::Limited,      StoreMode::Silent,
-  StoreMode::Slow, StoreMode::LosesAnswers, StoreMode::LateWrites,
+  NamedStoreMode{ StoreMode::Busy, "busy" },
+  NamedStoreMode{ StoreMode::Limited, "limited" },
+  NamedStoreMode{ StoreMode::Silent, "silent" },
+  NamedStoreMode{ StoreMode::Slow, "slow" },
+  NamedStoreMode{ StoreMode::LosesAnswers, "loses answers" },
+  NamedStoreMode{ StoreMode::LateWrites, "late writes" },
 };
 constexpr std::array kStreamFaults = {
-  StreamFault::Silent,
-  StreamFault::OneWay,
-  StreamFault::Reset,
-  StreamFault::Delayed,
+  NamedStreamFault{ StreamFault::Silent, "silent" },
+  NamedStreamFault{ StreamFault::OneWay, "one way" },
+  NamedStreamFault{ StreamFault::Reset, "reset" },
+  NamedStreamFault{ StreamFault::Delayed, "delayed" },
 };
 
 } // namespace
@@ -244,7 +260,7 @@
 void
 Soak::BreakStoreLinks()
 {
-  const StreamFault fault =
+  const auto& [fault, name] =
     kStreamFaults.at(mRandom.Below(kStreamFaults.size()));
   const double share = mRandom.Chance(0.3) ? 1.0 : 0.35;
   std::vector<size_t> nodes;
@@ -257,8 +273,7 @@
       }
     }
   }
-  Log("  " + std::to_string(nodes.size()) + " nodes, mode " +
-      std::to_string(static_cast<int>(fault)));
+  Log("  " + std::to_string(nodes.size()) + " nodes, " + name);
   Disturb(SomeTime(), [this, nodes] {
     for (const size_t node : nodes) {
       mFaults.SetStore(node, StreamFault::None);
@@ -269,8 +284,8 @@
 void
 Soak::FailStore()
 {
-  const StoreMode mode = kStoreModes.at(mRandom.Below(kStoreModes.size()));
-  Log("  mode " + std::to_string(static_cast<int>(mode)));
+  const auto& [mode, name] = kStoreModes.at(mRandom.Below(kStoreModes.size()));
+  Log(std::string("  ") + name);
   mStore.SetMode(mode);
   Disturb(SomeTime(), [this] { mStore.SetMode(StoreMode::Up); });
 }
