A pause between two full loads is no service time

Cause (found by reading): the moment since which all slots were busy outlived a restart of the backend server and flows that ended without an answer, so that the next answer under full load counted the pause as service time; 20 s of it made the agent turn away every request that had to wait.

--- a/src/Flow/AgentCore.cpp
+++ b/src/Flow/AgentCore.cpp
@@ -314,6 +314,7 @@
     flow.mBusy = false;
   }
   mLoad = 0;
+  mSaturatedSince.reset();
   mPending.clear();
   mOpenings.clear();
 }
--- a/src/Flow/AgentCoreAnswers.cpp
+++ b/src/Flow/AgentCoreAnswers.cpp
@@ -83,7 +83,6 @@
   if (answers && aFlow.mBusy) {
     LearnServiceTime(aFlow, aNow);
     SetBusy(aFlow, false, aNow);
-    mSaturatedSince.reset();
     if (mLoad >= mStatus.Slots()) {
       mSaturatedSince = aNow;
     }
@@ -209,6 +208,9 @@
   aFlow.mBusy = aBusy;
   aFlow.mBusySince = aNow;
   mLoad = aBusy ? mLoad + 1 : mLoad - 1;
+  if (mLoad < mStatus.Slots()) {
+    mSaturatedSince.reset();
+  }
 }
 
 void
--- a/tests/Flow/AgentCoreTest.cpp
+++ b/tests/Flow/AgentCoreTest.cpp
@@ -357,6 +357,39 @@
   BOOST_TEST(mDecisions.Count(Verdict::Ended) == 1U);
 }
 
+// Guards against a pause counted as service time: after it every request that
+// has to wait would be turned away. The load falls below the slots by a restart
+// of the server, or by flows that end without an answer.
+BOOST_AUTO_TEST_CASE(PauseBetweenTwoFullLoadsIsNoServiceTime)
+{
+  const auto fill = [this](uint16_t aFirst) {
+    for (uint16_t port = aFirst; port < aFirst + 6; ++port) {
+      Offer(port, TransitMark::OfferLast);
+      Answer(port, true);
+      Data(port);
+    }
+    mNow += 25ms;
+    Answer(aFirst, false, 100);
+  };
+  size_t taken = 0;
+  Beat(5, 1);
+  fill(1);
+  mNow += 20s;
+  BOOST_TEST((Beat(9, 1) == HeartbeatOutcome::Restarted));
+  fill(11);
+  taken = mToBackend;
+  Offer(20, TransitMark::OfferLast);
+  BOOST_TEST(mToBackend == taken + 1);
+  for (uint16_t port = 12; port <= 20; ++port) {
+    Returned(port, false);
+  }
+  mNow += 20s;
+  fill(21);
+  taken = mToBackend;
+  Offer(30, TransitMark::OfferLast);
+  BOOST_TEST(mToBackend == taken + 1);
+}
+
 BOOST_AUTO_TEST_CASE(LeavingAgentKeepsItsFlows)
 {
   Beat();
