A flow that the caller opened elsewhere is not reset when a backend server restarts

Change: only a caller's packet that acknowledges this backend server is answered with a reset; the entry instance is told that the flow is not owned here, and locates it. Flows that the server never answered are forgotten at its restart. Both tests fail without the change.

--- a/include/snipepost/Flow/AgentCore.h
+++ b/include/snipepost/Flow/AgentCore.h
@@ -148,6 +148,9 @@
              Refusal aRefusal,
              Instant aNow);
   void TellOwned(const FlowId& aId, AgentFlow& aFlow);
+  void TellNotOwned(const FlowId& aId,
+                    cluster::NodeIp aFrom,
+                    TransitMark aMark);
   /// Learns the service time from an answer that ends a request.
   void LearnServiceTime(const AgentFlow& aFlow, Instant aNow);
   bool ChosenByCaller(const AgentFlow& aFlow, const Packet& aPacket) const;
--- a/src/Flow/AgentCore.cpp
+++ b/src/Flow/AgentCore.cpp
@@ -67,14 +67,17 @@
     return;
   }
   AgentFlow& flow = found->second;
+  if (!flow.mOpen && !flow.mTentative && !ChosenByCaller(flow, aPacket)) {
+    // The caller chose another agent's backend server, whose reply the entry
+    // instance did not get.
+    TellNotOwned(id, aFrom, aPacket.mMark);
+    return;
+  }
   if (flow.mDead) {
     mOutput.SendReset(aPacket);
     Decide(Verdict::Ended, id, aFrom, Refusal::None, aNow - flow.mOpenedAt);
     return;
   }
-  if (!flow.mOpen && !flow.mTentative && !ChosenByCaller(flow, aPacket)) {
-    return; // The caller chose another agent's backend server.
-  }
   flow.mLastSeen = aNow;
   flow.mEntry = aFrom;
   if (!flow.mOpen && !flow.mTentative) {
@@ -111,10 +114,7 @@
 {
   const FlowId id = CallerFlow(aPacket);
   if (KnowsAllFlows(aNow)) {
-    if (aPacket.mMark != TransitMark::Locate) {
-      Decide(Verdict::NotOwned, id, aFrom, Refusal::None, {});
-      mOutput.SendToNode(aFrom, OwnerNotice{ id, false });
-    }
+    TellNotOwned(id, aFrom, aPacket.mMark);
     return;
   }
   if (mFlows.size() >= kMaxFlows) {
@@ -290,6 +290,19 @@
   mOutput.SendToNode(aFlow.mEntry, OwnerNotice{ aId, true });
 }
 
+void
+AgentCore::TellNotOwned(const FlowId& aId,
+                        cluster::NodeIp aFrom,
+                        TransitMark aMark)
+{
+  // An entry instance that asks several agents expects one answer only.
+  if (aMark == TransitMark::Locate) {
+    return;
+  }
+  Decide(Verdict::NotOwned, aId, aFrom, Refusal::None, {});
+  mOutput.SendToNode(aFrom, OwnerNotice{ aId, false });
+}
+
 HeartbeatOutcome
 AgentCore::OnHeartbeat(const Heartbeat& aHeartbeat, Instant aNow)
 {
@@ -309,6 +322,10 @@
 void
 AgentCore::EndFlows()
 {
+  // A flow that this backend server has not answered belongs to another one.
+  std::erase_if(mFlows, [](const auto& aEntry) {
+    return !aEntry.second.mOpen && !aEntry.second.mAnswered;
+  });
   for (auto& [id, flow] : mFlows) {
     flow.mDead = true;
     flow.mBusy = false;
--- a/tests/Flow/AgentCoreTest.cpp
+++ b/tests/Flow/AgentCoreTest.cpp
@@ -357,6 +357,37 @@
   BOOST_TEST(mDecisions.Count(Verdict::Ended) == 1U);
 }
 
+// Guards against the reset of a flow that lives elsewhere: two backend servers
+// answered its opening, the caller chose the other one, this one restarted, and
+// the entry instance, which lost the other agent's reply, sends it packets.
+BOOST_AUTO_TEST_CASE(FlowThatTheCallerOpenedElsewhereIsNotReset)
+{
+  Beat(5, 1);
+  Offer(1);
+  Answer(1, true);
+  Data(1, TransitMark::Owner, kEntry, 900000001);
+  BOOST_TEST(mToBackend == 1U);
+  BOOST_REQUIRE(mNotices.size() == 1U);
+  BOOST_TEST(!mNotices[0].second.mOwned);
+  BOOST_TEST((Beat(9, 1) == HeartbeatOutcome::Restarted));
+  Data(1, TransitMark::Owner, kEntry, 900000001);
+  Data(1, TransitMark::Locate, kEntry, 900000001);
+  BOOST_TEST(mResets == 0U);
+  BOOST_TEST(mNotices.size() == 2U);
+}
+
+// The same when the other agents were merely asked for the flow, and the
+// backend server restarted before it returned the packet.
+BOOST_AUTO_TEST_CASE(FlowThatWasOnlyAskedForIsNotReset)
+{
+  Beat(5, 7);
+  Data(1, TransitMark::Locate);
+  BOOST_TEST(mToBackend == 1U);
+  BOOST_TEST((Beat(9, 1) == HeartbeatOutcome::Restarted));
+  Data(1, TransitMark::Locate);
+  BOOST_TEST(mResets == 0U);
+}
+
 // Guards against a pause counted as service time: after it every request that
 // has to wait would be turned away. The load falls below the slots by a restart
 // of the server, or by flows that end without an answer.
