Cluster, Http1: a node that starts to watch the store lists it first

The store was silent from 8.3 to 14.7 s. The watchers detected it by keep-alive, and three other nodes took over at 13.3 to 13.8 s. They had listed the store when they started, so they went straight to a watch from that revision. Its connection attempt was not answered, and nothing but the wait of 21 s ended it: keep-alive needs a connection. Until then the three counted as healthy watchers, so no other node replaced them.

Ruled out: gossip (each node had the change within 70 ms of the first one) and a regression of the replica (revision 2 was kept until 22.0 s).

Change: a node lists before it watches whenever it starts to watch; a connection attempt ends after 1 s; watches of configurations and evacuations are renewed after 2.5 s, since the store may also lose a response to a watch that was sent in time; those of records after 10 s.

--- a/include/snipepost/Cluster/StoreSync.h
+++ b/include/snipepost/Cluster/StoreSync.h
@@ -56,6 +56,8 @@
     Revision mRevision;
   };
 
+  /// Prepares for following changes after a time without.
+  void StartWatching();
   void StepPart(Part aPart, bool aWatch);
   void StartList(Part aPart);
   void StartWatch(Part aPart);
--- a/src/Cluster/StoreSync.cpp
+++ b/src/Cluster/StoreSync.cpp
@@ -6,9 +6,13 @@
 
 namespace {
 
-/// Each watch counts as a call, so it waits long; TCP keep-alive probes
-/// detect an unresponsive connection earlier.
-constexpr Duration kWatchWait = std::chrono::seconds(20);
+/// Wait times of watches. Each watch counts as a call, so it should wait long;
+/// but the store may lose the response to a watch, and the connection then
+/// stays silent until the end of the wait. Configurations and evacuations must
+/// be in force within 3 s of such a loss; for records, the agents themselves
+/// decide which flows they accept.
+constexpr Duration kUrgentWatchWait = std::chrono::milliseconds(2500);
+constexpr Duration kRecordWatchWait = std::chrono::seconds(10);
 /// Bounds of the backoff after a failure: the store responds in milliseconds,
 /// and nodes should detect its recovery within half a second.
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(50);
@@ -21,6 +25,12 @@
 constexpr Duration kMinListTimeout = std::chrono::milliseconds(350);
 constexpr Duration kMaxListTimeout = std::chrono::milliseconds(900);
 
+Duration
+WatchWait(Part aPart)
+{
+  return aPart == Part::Backends ? kRecordWatchWait : kUrgentWatchWait;
+}
+
 } // namespace
 
 std::string_view
@@ -61,6 +71,9 @@
 StoreSync::Step(bool aWatch, Instant aNow)
 {
   mNow = aNow;
+  if (aWatch && !mShouldWatch) {
+    StartWatching();
+  }
   mShouldWatch = aWatch;
   if (aNow < mNextAttemptTime) {
     return;
@@ -74,6 +87,16 @@
   }
 }
 
+// A response to a list call, which arrives at once, shows that the store is
+// reachable; a watch would show it only after its wait.
+void
+StoreSync::StartWatching()
+{
+  for (PartState& state : mParts) {
+    state.mNeedsList = state.mNeedsList || !state.mWatching;
+  }
+}
+
 void
 StoreSync::StepPart(Part aPart, bool aWatch)
 {
@@ -129,7 +152,7 @@
   ++mCalls;
   mStore.Watch(aPart,
                state.mRevision,
-               kWatchWait,
+               WatchWait(aPart),
                [this, aPart](WatchResult aResult) { OnWatch(aPart, aResult); });
 }
 
--- a/src/Http1/Client.cpp
+++ b/src/Http1/Client.cpp
@@ -1,5 +1,6 @@
 #include <snipepost/Http1/Client.h>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 
@@ -17,6 +18,10 @@
 constexpr size_t kMaxBody = 4UL * 1024 * 1024;
 constexpr size_t kReadSize = 8192;
 
+/// Limit of the time to connect; a call that watches the store has a much
+/// longer timeout. Servers accept connections within milliseconds.
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+
 // Keep-alive probes detect within about 3 s that a peer became unreachable
 // without a TCP reset. The timeout of a call that watches the store for changes
 // is much longer.
@@ -113,14 +118,7 @@
   {
     mActive = true;
     ++mExchange;
-    mTimer.expires_after(mQueue.front().mTimeout);
-    mTimer.async_wait(
-      BindToExchange([](Impl& aSelf, const asio::error_code& aError) {
-        if (!aError) {
-          aSelf.Finish(aSelf.mConnected ? Result::TimedOut
-                                        : Result::NotConnected);
-        }
-      }));
+    mDeadline = std::chrono::steady_clock::now() + mQueue.front().mTimeout;
     if (mConnected) {
       Send();
     } else {
@@ -128,8 +126,22 @@
     }
   }
 
+  /// Ends the call with aResult at aTime unless it has ended before.
+  void FinishAt(std::chrono::steady_clock::time_point aTime, Result aResult)
+  {
+    mTimer.expires_at(aTime);
+    mTimer.async_wait(
+      BindToExchange([aResult](Impl& aSelf, const asio::error_code& aError) {
+        if (!aError) {
+          aSelf.Finish(aResult);
+        }
+      }));
+  }
+
   void Connect()
   {
+    const auto limit = std::chrono::steady_clock::now() + kConnectTimeout;
+    FinishAt(std::min(limit, mDeadline), Result::NotConnected);
     mSocket.async_connect(
       ToTcp(mServer),
       BindToExchange([](Impl& aSelf, const asio::error_code& aError) {
@@ -145,6 +157,7 @@
 
   void Send()
   {
+    FinishAt(mDeadline, Result::TimedOut);
     const Request& request = mQueue.front().mRequest;
     mOut = request.mMethod + ' ' + request.mPath +
            " HTTP/1.1\r\nHost: " + ToString(mServer) + "\r\n";
@@ -232,6 +245,7 @@
   Address mServer;
   asio::ip::tcp::socket mSocket;
   asio::steady_timer mTimer;
+  std::chrono::steady_clock::time_point mDeadline;
   Parser mParser;
   std::deque<PendingCall> mQueue;
   std::array<char, kReadSize> mIn{};
--- a/tests/Cluster/StoreSyncTest.cpp
+++ b/tests/Cluster/StoreSyncTest.cpp
@@ -26,11 +26,12 @@
   }
   void Watch(Part aPart,
              Revision aSince,
-             Duration,
+             Duration aWait,
              std::function<void(WatchResult)> aDone) override
   {
     mWatches[aPart] = std::move(aDone);
     mSince[aPart] = aSince;
+    mWaits[aPart] = aWait;
   }
   void Write(const std::string&,
              const RecordWrite&,
@@ -62,6 +63,7 @@
   std::map<Part, std::function<void(ListResult)>> mLists;
   std::map<Part, std::function<void(WatchResult)>> mWatches;
   std::map<Part, Revision> mSince;
+  std::map<Part, Duration> mWaits;
   std::vector<Duration> mTimeouts;
 };
 
@@ -205,6 +207,37 @@
   BOOST_TEST(longest.count() <= Duration(500ms).count());
 }
 
+// Guards against a watcher that took over while the store did not respond: a
+// watch shows only after its wait that the store is unreachable, so the node
+// counted as a watcher without receiving any change, and no other took over.
+BOOST_AUTO_TEST_CASE(NodeThatStartsToWatchListsFirst)
+{
+  mSync.Step(false, mNow);
+  mStore.CompleteAllLists(7);
+  mNow += 10s;
+  mSync.Step(true, mNow);
+  BOOST_TEST(mStore.mWatches.empty());
+  BOOST_TEST(mStore.mLists.size() == 3U);
+  BOOST_TEST(!mSync.Healthy());
+  mStore.CompleteAllLists(9);
+  BOOST_TEST(mSync.Healthy());
+  BOOST_TEST(mStore.mSince[Part::Routes].Value() == 9U);
+}
+
+// The store may lose the response to a watch, and the connection then stays
+// silent. Configurations and evacuations must be in force within seconds, so
+// their watches are renewed before that.
+BOOST_AUTO_TEST_CASE(WatchesOfUrgentPartsAreRenewedWithinTheirBounds)
+{
+  mSync.Step(true, mNow);
+  mStore.CompleteAllLists(7);
+  BOOST_TEST(mStore.mWaits[Part::Routes].count() <= Duration(3s).count());
+  BOOST_TEST(mStore.mWaits[Part::Evacuations].count() <= Duration(3s).count());
+  mStore.CompleteWatch(Part::Routes, { ReadOutcome::Done, {}, Revision(7) });
+  BOOST_TEST(mStore.mWatches.contains(Part::Routes));
+  BOOST_TEST(mUnreachableCalls == 0);
+}
+
 // A node must not count as a watcher while its watch has failed.
 BOOST_AUTO_TEST_CASE(FailedWatchIsNotHealthy)
 {
--- a/tests/Http1/ClientServerTest.cpp
+++ b/tests/Http1/ClientServerTest.cpp
@@ -136,6 +136,24 @@
   BOOST_TEST((Call(client, {}, 1s) == Result::NotConnected));
 }
 
+// Guards against a call with a long timeout, such as a watch, that waits all
+// this time for a connection to a server that does not respond.
+BOOST_AUTO_TEST_CASE(UnansweredConnectionAttemptEndsBeforeTheCallTimeout)
+{
+  // A full accept queue drops further connection attempts.
+  asio::ip::tcp::acceptor acceptor(mContext);
+  acceptor.open(asio::ip::tcp::v4());
+  acceptor.bind(ToTcp(kLoopback));
+  acceptor.listen(0);
+  const Address server{ kLoopback.mIp, acceptor.local_endpoint().port() };
+  asio::ip::tcp::socket queued(mContext);
+  queued.connect(ToTcp(server));
+  http1::Client client(mContext, server);
+  const auto start = std::chrono::steady_clock::now();
+  BOOST_TEST((Call(client, {}, 20s) == Result::NotConnected));
+  BOOST_TEST((std::chrono::steady_clock::now() - start < 2s));
+}
+
 BOOST_AUTO_TEST_CASE(DestructionDropsCallsWithoutCallingHandlers)
 {
   RawServer server(mContext, "");
