--- a/include/snipepost/Cluster/BackendRecord.h
+++ b/include/snipepost/Cluster/BackendRecord.h
@@ -30,9 +30,6 @@
   BackendState mState = BackendState::Ready;
   /// Requests that the backend server processes concurrently.
   uint32_t mSlots = 1;
-  /// Start time of the backend server in milliseconds since the Unix epoch.
-  /// Distinguishes incarnations; never compared with a clock.
-  uint64_t mStartTimeMs = 0;
 
   bool operator==(const BackendRecord&) const = default;
 };
--- a/include/snipepost/Cluster/RecordPublisher.h
+++ b/include/snipepost/Cluster/RecordPublisher.h
@@ -70,6 +70,9 @@
   /// when there is none.
   void OnReplicaState(Revision aRevision, std::optional<StoredRecord> aStored);
 
+  /// Whether the record is stored; nothing before this is known.
+  std::optional<bool> Stored() const;
+
   /// The write to send now; at most one is outstanding at a time.
   std::optional<RecordWrite> NextWrite(Instant aNow);
 
--- a/include/snipepost/Cluster/Replica.h
+++ b/include/snipepost/Cluster/Replica.h
@@ -53,12 +53,18 @@
   bool operator==(const PartVersion&) const = default;
 };
 
+/// True when aVersion has newer content than aOther.
+bool
+HasNewerContent(const PartVersion& aVersion, const PartVersion& aOther);
+
 /// The new state of a stored object; no mText means that it was removed.
 struct ObjectChange
 {
   std::string mName;
   Revision mRevision;
   std::optional<std::string> mText;
+  /// Revision at which the object was created; zero when unknown.
+  Revision mCreated{};
 };
 
 /// All objects of a part at one revision.
@@ -124,6 +130,8 @@
   /// The object aName of a part; nothing when there is none.
   std::optional<StoredRecord> FindObject(Part aPart,
                                          const std::string& aName) const;
+  /// Revision at which the record aName was created; zero when unknown.
+  Revision RecordCreated(const std::string& aName) const;
   /// Number of configurations and records that could not be decoded.
   uint64_t UndecodableObjects() const { return mUndecodableObjects; }
 
@@ -132,6 +140,7 @@
   {
     Revision mRevision;
     std::string mText;
+    Revision mCreated;
   };
 
   struct PartState
--- a/include/snipepost/Flow/Candidates.h
+++ b/include/snipepost/Flow/Candidates.h
@@ -37,7 +37,8 @@
   const cluster::BackendRecord* mRecord = nullptr;
   const AgentView* mView = nullptr;
   bool mLocal = false;
-  /// Position in the rendezvous order of the flow, from 0.
+  /// Position among the candidates of the flow, from 0: those of the local
+  /// failure domain first, each group in rendezvous order.
   uint32_t mRank = 0;
 };
 
@@ -46,16 +47,6 @@
 double
 EstimatedLoad(const AgentView& aView, Instant aNow);
 
-/// The backend servers of a service in the order of rendezvous hashing (Thaler
-/// and Ravishankar, 1998) for the flow. Every node computes the same order, and
-/// it changes little when servers are added or removed. At most aLimit servers
-/// of the local failure domain and aLimit servers of all others.
-std::vector<Candidate>
-RankByHash(uint64_t aFlowHash,
-           const std::vector<const cluster::BackendRecord*>& aServers,
-           const std::string& aLocalDomain,
-           size_t aLimit);
-
 /// Index of the best candidate in aCandidates: reachable ones first, then by
 /// expected wait, which includes the network path and the slower service of a
 /// cold backend server. Nothing when aCandidates is empty.
--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -30,6 +30,8 @@
   virtual void SendToNode(cluster::NodeIp aNode, const OfferReply& aReply) = 0;
   virtual void SendToNode(cluster::NodeIp aNode,
                           const OwnerNotice& aNotice) = 0;
+  virtual void SendToNode(cluster::NodeIp aNode,
+                          const OwnerExclusion& aExclusion) = 0;
 };
 
 /// Settings of an agent.
@@ -75,6 +77,10 @@
 
   HeartbeatOutcome OnHeartbeat(const Heartbeat& aHeartbeat, Instant aNow);
   bool OnDeregister(const std::string& aId);
+  /// Passes whether the agent's record is stored, once this is known. After its
+  /// record was created, the agent accepts no flow for a moment, so that no
+  /// flow is opened at a server that other entry instances do not know yet.
+  void SetRecordStored(bool aStored, Instant aNow);
   /// Stops accepting flows, before the agent shuts down.
   void RefuseNewFlows() { mRefusesNewFlows = true; }
 
@@ -88,6 +94,9 @@
   size_t FlowCount() const { return mFlows.size(); }
   /// Flows that are not closed or have a request without a response.
   size_t OpenFlows() const;
+  /// True when the table contains every flow of the backend server, because the
+  /// agent has forwarded the SYN of each.
+  bool TracksAllFlows(Instant aNow) const;
 
 private:
   struct AgentFlow
@@ -101,6 +110,8 @@
     bool mEstablished = false;
     /// The backend server may own the flow, but has not sent a packet of it.
     bool mTentative = false;
+    /// The latest packet from mEntry was an owner lookup.
+    bool mLookedUp = false;
     /// The incarnation of the backend server that owned the flow has ended.
     bool mOrphaned = false;
     /// Counted in mLoad: the flow has a request without a response, or was
@@ -154,7 +165,8 @@
   void NotifyOwned(const FlowTuple& aTuple, AgentFlow& aFlow);
   void NotifyNotOwned(const FlowTuple& aTuple,
                       cluster::NodeIp aFrom,
-                      TransitMark aMark);
+                      bool aLookedUp,
+                      Instant aNow);
   /// Updates the mean service time when a response ends a request.
   void UpdateServiceTime(const AgentFlow& aFlow, Instant aNow);
   /// False when the caller continued the flow with the SYN-ACK of another
@@ -169,9 +181,6 @@
   void Erase(Flows::iterator aFlow);
   void OrphanFlows();
   bool WithinEvacuationGrace(Instant aNow);
-  /// True when the table contains every flow of the backend server, because the
-  /// agent has forwarded the SYN of each.
-  bool TracksAllFlows(Instant aNow) const;
   bool BackendUnresponsive(Instant aNow);
   void ReportDecision(Verdict aVerdict,
                       const FlowTuple& aTuple,
@@ -203,6 +212,11 @@
   uint32_t mUnansweredSyns = 0;
   Instant mNextProbe;
   std::optional<Instant> mEvacuatedSince;
+  bool mRecordMissing = false;
+  Instant mAcceptsFrom;
+  /// When an entry instance of the previous version last offered a flow, which
+  /// need not be one of its candidates.
+  std::optional<Instant> mLastUnconstrainedOffer;
 };
 
 } // namespace snipepost::flow
--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -12,7 +12,7 @@
 #include <snipepost/Admission/RetryBudget.h>
 #include <snipepost/Base/Types.h>
 #include <snipepost/Cluster/Replica.h>
-#include <snipepost/Flow/Candidates.h>
+#include <snipepost/Flow/CandidateTable.h>
 #include <snipepost/Flow/Decision.h>
 #include <snipepost/Flow/Packet.h>
 
@@ -33,20 +33,30 @@
   virtual void SendReset(const Packet& aPacket) = 0;
 };
 
+/// Settings of an entry instance.
+struct EntryOptions
+{
+  std::string mDomain;
+  /// Maximum lifetime of a flow.
+  Duration mFlowLimit = std::chrono::seconds(60);
+};
+
 /// The decisions of an entry instance. A SYN is offered to one agent after
 /// another: to the best candidate first, and to the next one when the agent
 /// refuses or does not reply within some milliseconds. Later packets go to the
 /// agent that accepted the flow. For a flow that another entry instance placed,
-/// packets are sent to all candidates until the owner identifies itself. All
-/// state is soft: any entry instance can continue any flow. Does no I/O; the
-/// time is an argument.
+/// packets are sent to the possible owners until the owner identifies itself;
+/// when every one of them has excluded itself, the owner has ended and the flow
+/// is reset. All state is soft: any entry instance can continue any flow. Does
+/// no I/O; the time is an argument.
 class FlowEntryCore
 {
 public:
-  FlowEntryCore(std::string aDomain,
+  FlowEntryCore(EntryOptions aOptions,
                 const cluster::Replica& aReplica,
                 EntryOutput& aOutput,
-                DecisionSink& aDecisions);
+                DecisionSink& aDecisions,
+                Instant aStart);
 
   /// Handles a packet from a caller; aBytes is its encoded form.
   void OnCallerPacket(const Packet& aPacket,
@@ -60,6 +70,10 @@
                      const OwnerNotice& aNotice,
                      Instant aNow);
 
+  void OnOwnerExclusion(cluster::NodeIp aFrom,
+                        const OwnerExclusion& aExclusion,
+                        Instant aNow);
+
   /// Handles a change of the replicated state.
   void OnReplicaChanged(cluster::Part aPart, Instant aNow);
 
@@ -99,6 +113,20 @@
     double mLoad = 0.0;
   };
 
+  /// Search for the owner of a flow that another instance placed.
+  struct OwnerLookup
+  {
+    uint32_t mAttempts = 0;
+    /// The packet that was looked up last.
+    Packet mPacket;
+    /// Agents that have not excluded themselves; set by the latest attempt.
+    std::vector<cluster::NodeIp> mPending;
+    /// Agents that have excluded themselves.
+    std::vector<cluster::NodeIp> mExcluded;
+    /// mPending contains every possible owner that is not in mExcluded.
+    bool mConclusive = false;
+  };
+
   struct EntryFlow
   {
     uint32_t mCallerSequence = 0;
@@ -112,7 +140,7 @@
     bool mResolved = false;
     bool mRejected = false;
     bool mClosing = false;
-    uint32_t mLookupAttempts = 0;
+    OwnerLookup mLookup;
     std::optional<Instant> mDeadline;
     Instant mOpenedAt;
     Instant mLastSeen;
@@ -120,6 +148,7 @@
 
   using Flows = std::unordered_map<FlowTuple, EntryFlow>;
   using Servers = std::vector<const cluster::BackendRecord*>;
+  using NodeIps = std::vector<cluster::NodeIp>;
 
   void OnSyn(const Packet& aPacket,
              std::span<const uint8_t> aBytes,
@@ -158,19 +187,29 @@
   void ResolveOwner(EntryFlow& aFlow, const Packet& aPacket);
   void LookUpOwner(const FlowTuple& aTuple,
                    EntryFlow& aFlow,
+                   const Packet& aPacket,
                    std::span<const uint8_t> aBytes,
                    Instant aNow);
+  /// The agents to ask in the next attempt of a lookup; records in it which
+  /// answers are conclusive.
+  Servers LookupTargets(const FlowTuple& aTuple,
+                        const cluster::Route& aRoute,
+                        OwnerLookup& aLookup,
+                        Instant aNow) const;
+  /// Resets a flow whose possible owners have all excluded themselves.
+  void RejectOrphan(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
+  /// The current or removed route of the flow; null if there is none.
+  const cluster::Route* FindRoute(const FlowTuple& aTuple) const;
 
   std::vector<Candidate> EligibleCandidates(const FlowTuple& aTuple,
                                             const EntryFlow& aFlow,
                                             const std::string& aService);
   const std::string& ServiceOf(const cluster::Route& aRoute,
                                const FlowTuple& aTuple) const;
-  Servers ServersOf(const cluster::Route& aRoute) const;
   Duration ReplyTimeout(const Candidate& aCandidate) const;
   Offer* FindOffer(EntryFlow& aFlow, cluster::NodeIp aAgent);
   void UpdateView(AgentView& aView, const OfferReply& aReply, Instant aNow);
-  void RebuildServers();
+  void RebuildTables(Instant aNow);
   void ReportDecision(Verdict aVerdict,
                       const FlowTuple& aTuple,
                       const EntryFlow& aFlow,
@@ -183,14 +222,17 @@
                    std::optional<Instant> aDeadline);
   EntryFlow& AddFlow(const FlowTuple& aTuple, Instant aNow);
 
-  std::string mDomain;
+  EntryOptions mOptions;
   const cluster::Replica& mReplica;
   EntryOutput& mOutput;
   DecisionSink& mDecisions;
   std::shared_ptr<const cluster::RouteConfig> mRoutes;
   /// Routes of earlier configurations, by address.
   std::unordered_map<Address, cluster::Route> mRemovedRoutes;
-  std::map<std::string, Servers> mServers;
+  /// By service.
+  std::map<std::string, CandidateTable> mTables;
+  /// Time from which each record has been known, by name.
+  std::unordered_map<std::string, Instant> mKnownSince;
   std::unordered_map<Address, AgentView> mViews;
   Flows mFlows;
   RetryBudget mRetryBudget;
--- a/include/snipepost/Flow/NodeMessage.h
+++ b/include/snipepost/Flow/NodeMessage.h
@@ -65,8 +65,21 @@
   bool operator==(const OwnerNotice&) const = default;
 };
 
+/// Reply to an owner lookup: no incarnation of the agent's backend server that
+/// is still running owns the flow.
+struct OwnerExclusion
+{
+  FlowTuple mFlow;
+  /// Version of the agent's records. When they are newer than those of the
+  /// entry instance, it may not know the owner yet.
+  cluster::PartVersion mRecords;
+
+  bool operator==(const OwnerExclusion&) const = default;
+};
+
 /// A message between nodes on the internal UDP port.
-using NodeMessage = std::variant<cluster::Digest, OfferReply, OwnerNotice>;
+using NodeMessage =
+  std::variant<cluster::Digest, OfferReply, OwnerNotice, OwnerExclusion>;
 
 /// Largest encoded message in bytes.
 constexpr size_t kMaxNodeMessage = 256;
--- a/include/snipepost/Flow/Packet.h
+++ b/include/snipepost/Flow/Packet.h
@@ -52,6 +52,9 @@
   /// Header field for use between nodes: ServiceTag() in a SYN, else 0.
   uint32_t mServiceTag = 0;
   TransitMark mMark = TransitMark::Owner;
+  /// SYN: the sender offers flows only to their candidates (CandidateTable).
+  /// Entry instances of the previous version do not.
+  bool mOfferedToCandidate = false;
 
   bool IsSyn() const { return mSyn && !mAck; }
   bool IsSynAck() const { return mSyn && mAck; }
--- a/src/Cluster/BackendRecord.cpp
+++ b/src/Cluster/BackendRecord.cpp
@@ -40,7 +40,8 @@
     { "domain", aRecord.mDomain },
     { "state", aRecord.mState == BackendState::Ready ? "ready" : "draining" },
     { "slots", aRecord.mSlots },
-    { "born", aRecord.mStartTimeMs },
+    // Required by nodes of the previous version, which do not use the value.
+    { "born", 0 },
   };
   return json::serialize(object);
 }
@@ -57,8 +58,7 @@
   const auto domain = TextField(*object, "domain");
   const auto state = StateField(*object);
   const auto slots = CountField(*object, "slots");
-  const auto born = CountField(*object, "born");
-  if (!service || !agent || !domain || !state || !slots || !born) {
+  if (!service || !agent || !domain || !state || !slots) {
     return std::nullopt;
   }
   const auto address = ParseAddress(*agent);
@@ -67,7 +67,7 @@
     return std::nullopt;
   }
   return BackendRecord{
-    *service, *address, *domain, *state, static_cast<uint32_t>(*slots), *born
+    *service, *address, *domain, *state, static_cast<uint32_t>(*slots)
   };
 }
 
--- a/src/Cluster/GossipCore.cpp
+++ b/src/Cluster/GossipCore.cpp
@@ -26,20 +26,6 @@
   return HashWord(aNode.Value(), kWatcherRankSeed);
 }
 
-/// True when aVersion has newer content than aOther.
-bool
-HasNewerContent(const PartVersion& aVersion, const PartVersion& aOther)
-{
-  if (!aVersion.mLoaded) {
-    return false;
-  }
-  if (!aOther.mLoaded) {
-    return true;
-  }
-  return aVersion.mContentHash != aOther.mContentHash &&
-         aVersion.mRevision > aOther.mRevision;
-}
-
 } // namespace
 
 GossipCore::GossipCore(NodeIp aSelf,
--- a/src/Cluster/RecordPublisher.cpp
+++ b/src/Cluster/RecordPublisher.cpp
@@ -34,6 +34,17 @@
   return aStored;
 }
 
+/// True when the address was used by a backend server of another service. Its
+/// record is removed first, so that the revision at which a record was created
+/// shows from when on the server has belonged to its service.
+bool
+NamesOtherService(const StoredRecord& aStored, const std::string& aDesired)
+{
+  const auto stored = DecodeRecord(aStored.mText);
+  const auto desired = DecodeRecord(aDesired);
+  return stored && desired && stored->mService != desired->mService;
+}
+
 } // namespace
 
 std::string
@@ -118,6 +129,12 @@
   mStored = Canonicalize(std::move(aStored));
 }
 
+std::optional<bool>
+RecordPublisher::Stored() const
+{
+  return mStoredKnown ? std::optional(mStored.has_value()) : std::nullopt;
+}
+
 bool
 RecordPublisher::UpToDate() const
 {
@@ -135,7 +152,7 @@
     return std::nullopt;
   }
   RecordWrite write;
-  if (!mDesired) {
+  if (!mDesired || (mStored && NamesOtherService(*mStored, *mDesired))) {
     write.mAction = RecordWrite::Action::Remove;
     write.mExpected = mStored->mRevision;
   } else {
--- a/src/Cluster/Replica.cpp
+++ b/src/Cluster/Replica.cpp
@@ -32,9 +32,17 @@
   if (error) {
     return std::nullopt;
   }
-  return ObjectChange{ std::string(name->get_string()),
+  ObjectChange change{ std::string(name->get_string()),
                        Revision(number),
                        std::string(text->get_string()) };
+  // Missing in snapshots of nodes of the previous version.
+  if (const json::value* created = object->if_contains("created")) {
+    change.mCreated = Revision(created->to_number<uint64_t>(error));
+    if (error) {
+      return std::nullopt;
+    }
+  }
+  return change;
 }
 
 } // namespace
@@ -53,6 +61,19 @@
   return "invalid";
 }
 
+bool
+HasNewerContent(const PartVersion& aVersion, const PartVersion& aOther)
+{
+  if (!aVersion.mLoaded) {
+    return false;
+  }
+  if (!aOther.mLoaded) {
+    return true;
+  }
+  return aVersion.mContentHash != aOther.mContentHash &&
+         aVersion.mRevision > aOther.mRevision;
+}
+
 Replica::Replica(ConfigDecoder aDecoder)
   : mDecoder(std::move(aDecoder))
   , mRoutes(std::make_shared<RouteConfig>())
@@ -118,7 +139,9 @@
     }
     return true;
   }
-  part.mObjects[aChange.mName] = { aChange.mRevision, *aChange.mText };
+  part.mObjects[aChange.mName] = { aChange.mRevision,
+                                   *aChange.mText,
+                                   aChange.mCreated };
   if (aPart == Part::Evacuations) {
     mChanges.push_back("evacuated " + aChange.mName);
     return true;
@@ -198,7 +221,8 @@
   for (const auto& [name, object] : part.mObjects) {
     objects.push_back({ { "name", name },
                         { "revision", object.mRevision.Value() },
-                        { "text", object.mText } });
+                        { "text", object.mText },
+                        { "created", object.mCreated.Value() } });
   }
   const json::object snapshot = {
     { "revision", part.mVersion.mRevision.Value() },
@@ -259,6 +283,14 @@
   return names;
 }
 
+Revision
+Replica::RecordCreated(const std::string& aName) const
+{
+  const auto& records = mParts[Index(Part::Backends)].mObjects;
+  const auto found = records.find(aName);
+  return found == records.end() ? Revision() : found->second.mCreated;
+}
+
 std::optional<StoredRecord>
 Replica::FindObject(Part aPart, const std::string& aName) const
 {
--- a/src/Flow/Candidates.cpp
+++ b/src/Flow/Candidates.cpp
@@ -3,14 +3,10 @@
 #include <algorithm>
 #include <cmath>
 
-#include "src/Routing/Hash.h"
-
 namespace snipepost::flow {
 
 namespace {
 
-constexpr uint64_t kCandidateSeed = 0x63616e6469646174;
-
 /// Time after which the weight of a load report has decayed to 1/e: a few
 /// service times.
 constexpr double kLoadDecaySeconds = 0.1;
@@ -50,42 +46,6 @@
   return aView.mLoad * std::exp(-std::max(0.0, age) / kLoadDecaySeconds);
 }
 
-std::vector<Candidate>
-RankByHash(uint64_t aFlowHash,
-           const std::vector<const cluster::BackendRecord*>& aServers,
-           const std::string& aLocalDomain,
-           size_t aLimit)
-{
-  struct Scored
-  {
-    uint64_t mScore;
-    const cluster::BackendRecord* mRecord;
-  };
-  std::vector<Scored> scored;
-  scored.reserve(aServers.size());
-  for (const cluster::BackendRecord* server : aServers) {
-    const uint64_t seed = HashAddress(server->mAgent, kCandidateSeed);
-    scored.push_back({ HashWord(aFlowHash, seed), server });
-  }
-  std::ranges::sort(scored, std::ranges::greater{}, &Scored::mScore);
-  std::vector<Candidate> candidates;
-  size_t local = 0;
-  size_t remote = 0;
-  for (const Scored& item : scored) {
-    const bool isLocal = item.mRecord->mDomain == aLocalDomain;
-    size_t& count = isLocal ? local : remote;
-    if (count == aLimit) {
-      continue;
-    }
-    ++count;
-    candidates.push_back({ item.mRecord,
-                           nullptr,
-                           isLocal,
-                           static_cast<uint32_t>(candidates.size()) });
-  }
-  return candidates;
-}
-
 std::optional<size_t>
 BestCandidate(const std::vector<Candidate>& aCandidates, Instant aNow)
 {
--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -23,6 +23,9 @@
 /// Service time assumed before the first response.
 constexpr Duration kInitialServiceTime = std::chrono::milliseconds(25);
 
+/// Time that a new record takes to reach nearly every entry instance.
+constexpr Duration kAnnouncementTime = std::chrono::seconds(1);
+
 /// Limit of flows when the configuration sets none.
 constexpr uint32_t kDefaultMaxFlows = 1000;
 
@@ -57,11 +60,16 @@
     OnSyn(aPacket, aBytes, aFrom, aNow);
     return;
   }
+  const FlowTuple tuple = CallerFlow(aPacket);
+  const auto found = mFlows.find(tuple);
+  const bool lookedUp = aPacket.mMark == TransitMark::OwnerLookup;
+  if (found == mFlows.end() && TracksAllFlows(aNow)) {
+    NotifyNotOwned(tuple, aFrom, lookedUp, aNow);
+    return;
+  }
   if (!WithinEvacuationGrace(aNow)) {
     return;
   }
-  const FlowTuple tuple = CallerFlow(aPacket);
-  const auto found = mFlows.find(tuple);
   if (found == mFlows.end()) {
     OnUnknownFlow(aPacket, aBytes, aFrom, aNow);
     return;
@@ -71,7 +79,7 @@
       !ChosenByCaller(flow, aPacket)) {
     // The caller chose another agent's backend server, and that agent's reply
     // did not reach the entry instance.
-    NotifyNotOwned(tuple, aFrom, aPacket.mMark);
+    NotifyNotOwned(tuple, aFrom, lookedUp, aNow);
     return;
   }
   if (flow.mOrphaned) {
@@ -82,6 +90,7 @@
   }
   flow.mLastSeen = aNow;
   flow.mEntry = aFrom;
+  flow.mLookedUp = lookedUp;
   if (!flow.mEstablished && !flow.mTentative) {
     // The request follows, so the flow counts as load, also if
     // ReleaseHalfOpenLoad() had stopped counting it.
@@ -92,7 +101,7 @@
   if (aPacket.mLength > 0 && !flow.mBusy) {
     SetBusy(flow, true, aNow);
   }
-  if (aPacket.mMark == TransitMark::OwnerLookup && !flow.mTentative) {
+  if (lookedUp && !flow.mTentative) {
     NotifyOwned(tuple, flow);
   }
   mOutput.SendToBackend(aBytes);
@@ -116,17 +125,13 @@
                              cluster::NodeIp aFrom,
                              Instant aNow)
 {
-  const FlowTuple tuple = CallerFlow(aPacket);
-  if (TracksAllFlows(aNow)) {
-    NotifyNotOwned(tuple, aFrom, aPacket.mMark);
-    return;
-  }
   if (mFlows.size() >= kMaxFlows) {
     return;
   }
   // The flow may have been opened before this agent started.
-  AgentFlow& flow = mFlows[tuple];
+  AgentFlow& flow = mFlows[CallerFlow(aPacket)];
   flow.mTentative = true;
+  flow.mLookedUp = aPacket.mMark == TransitMark::OwnerLookup;
   flow.mEntry = aFrom;
   flow.mOpenedAt = aNow;
   flow.mLastSeen = aNow;
@@ -173,7 +178,7 @@
 {
   const bool routesReceived =
     mReplica.Routes()->mVersion != cluster::ConfigVersion();
-  return mStatus.HasHeartbeat() &&
+  return !mRecordMissing && aNow >= mAcceptsFrom && mStatus.HasHeartbeat() &&
          mReplica.Loaded(cluster::Part::Evacuations) &&
          (routesReceived || !mStatus.Cold(aNow));
 }
@@ -226,6 +231,9 @@
                      cluster::NodeIp aFrom,
                      Instant aNow)
 {
+  if (!aPacket.mOfferedToCandidate) {
+    mLastUnconstrainedOffer = aNow;
+  }
   const FlowTuple tuple = CallerFlow(aPacket);
   const auto found = mFlows.find(tuple);
   if (found != mFlows.end()) {
@@ -302,15 +310,33 @@
 void
 FlowAgentCore::NotifyNotOwned(const FlowTuple& aTuple,
                               cluster::NodeIp aFrom,
-                              TransitMark aMark)
+                              bool aLookedUp,
+                              Instant aNow)
 {
-  // An entry instance that looks up the owner expects a notice from the owner
-  // only.
-  if (aMark == TransitMark::OwnerLookup) {
+  if (!aLookedUp) {
+    ReportDecision(Verdict::NotOwned, aTuple, aFrom, Refusal::None, {});
+    mOutput.SendToNode(aFrom, OwnerNotice{ aTuple, false });
     return;
   }
-  ReportDecision(Verdict::NotOwned, aTuple, aFrom, Refusal::None, {});
-  mOutput.SendToNode(aFrom, OwnerNotice{ aTuple, false });
+  // A flow that was offered to any server may be owned by one that the entry
+  // instance does not ask.
+  const bool unconstrained =
+    mLastUnconstrainedOffer &&
+    aNow - *mLastUnconstrainedOffer <= mOptions.mFlowLimit;
+  if (!unconstrained) {
+    mOutput.SendToNode(
+      aFrom,
+      OwnerExclusion{ aTuple, mReplica.Version(cluster::Part::Backends) });
+  }
+}
+
+void
+FlowAgentCore::SetRecordStored(bool aStored, Instant aNow)
+{
+  if (mRecordMissing && aStored) {
+    mAcceptsFrom = aNow + kAnnouncementTime;
+  }
+  mRecordMissing = !aStored;
 }
 
 HeartbeatOutcome
--- a/src/Flow/FlowAgentCoreBackend.cpp
+++ b/src/Flow/FlowAgentCoreBackend.cpp
@@ -136,9 +136,7 @@
   }
   if (flow.mTentative) {
     Erase(found);
-    if (aPacket.mMark != TransitMark::OwnerLookup) {
-      mOutput.SendToNode(flow.mEntry, OwnerNotice{ tuple, false });
-    }
+    NotifyNotOwned(tuple, flow.mEntry, flow.mLookedUp, aNow);
     return;
   }
   // The backend server has restarted, or has dropped an idle flow. A reset is
--- a/src/Flow/FlowEntryCore.cpp
+++ b/src/Flow/FlowEntryCore.cpp
@@ -11,18 +11,6 @@
 
 constexpr uint64_t kSplitSeed = 0x73706c6974000001;
 
-/// Limits of the agents that receive a packet of a flow with an unknown owner:
-/// for the flow's first packets, and for later ones. Each applies to the local
-/// failure domain, and to all others together.
-constexpr size_t kNarrowLookupLimit = 4;
-constexpr size_t kWideLookupLimit = 64;
-
-/// Lookups with the smaller number of agents.
-constexpr uint32_t kNarrowLookups = 2;
-
-/// Lookups of a flow's owner after which its packets are dropped.
-constexpr uint32_t kMaxLookups = 24;
-
 /// Limits the offers that follow an unanswered one to this share of the flows
 /// in the long run. When replies are late because processors are overloaded,
 /// further offers would multiply the load that delays them.
@@ -38,24 +26,21 @@
 /// size of a deployment an entry instance forwards 18,400 flows.
 constexpr size_t kMaxFlows = 65536;
 
-/// Largest distance of a caller's acknowledgement from the backend server's
-/// initial sequence number, for the first packets of a flow.
-constexpr uint32_t kFirstAckWindow = 1U << 20;
-
 } // namespace
 
-FlowEntryCore::FlowEntryCore(std::string aDomain,
+FlowEntryCore::FlowEntryCore(EntryOptions aOptions,
                              const cluster::Replica& aReplica,
                              EntryOutput& aOutput,
-                             DecisionSink& aDecisions)
-  : mDomain(std::move(aDomain))
+                             DecisionSink& aDecisions,
+                             Instant aStart)
+  : mOptions(std::move(aOptions))
   , mReplica(aReplica)
   , mOutput(aOutput)
   , mDecisions(aDecisions)
   , mRoutes(aReplica.Routes())
   , mRetryBudget(kOfferRetries)
 {
-  RebuildServers();
+  RebuildTables(aStart);
 }
 
 void
@@ -194,132 +179,6 @@
   return aRoute.mServices.back().mService;
 }
 
-FlowEntryCore::Servers
-FlowEntryCore::ServersOf(const cluster::Route& aRoute) const
-{
-  Servers servers;
-  for (const cluster::WeightedService& share : aRoute.mServices) {
-    const auto found = mServers.find(share.mService);
-    if (found != mServers.end()) {
-      servers.insert(servers.end(), found->second.begin(), found->second.end());
-    }
-  }
-  return servers;
-}
-
-void
-FlowEntryCore::OnOwnerNotice(cluster::NodeIp aFrom,
-                             const OwnerNotice& aNotice,
-                             Instant aNow)
-{
-  const auto found = mFlows.find(aNotice.mFlow);
-  if (found == mFlows.end()) {
-    return;
-  }
-  EntryFlow& flow = found->second;
-  if (!aNotice.mOwned) {
-    if (flow.mOwner && flow.mOwner->mIp == aFrom.Value()) {
-      flow.mOwner.reset();
-      flow.mResolved = true;
-      flow.mOffers.clear();
-    }
-    return;
-  }
-  for (const auto& [name, record] : mReplica.Backends()) {
-    if (record.mAgent.mIp == aFrom.Value()) {
-      flow.mOwner = record.mAgent;
-      flow.mResolved = true;
-      // The reply to the offer was lost; no further offer is made.
-      SetDeadline(aNotice.mFlow, flow, std::nullopt);
-      mViews[record.mAgent].mUnansweredOffers = 0;
-      ReportDecision(Verdict::Located,
-                     aNotice.mFlow,
-                     flow,
-                     record.mAgent,
-                     Refusal::None,
-                     {},
-                     aNow);
-      return;
-    }
-  }
-}
-
-void
-FlowEntryCore::ResolveOwner(EntryFlow& aFlow, const Packet& aPacket)
-{
-  if (aFlow.mResolved || !aPacket.mAck) {
-    return;
-  }
-  for (const Offer& offer : aFlow.mOffers) {
-    const uint32_t distance =
-      aPacket.mAcknowledgement - offer.mBackendSequence - 1;
-    if (offer.mState == OfferState::Accepted && distance < kFirstAckWindow) {
-      aFlow.mOwner = offer.mAgent;
-      aFlow.mResolved = true;
-      return;
-    }
-  }
-}
-
-void
-FlowEntryCore::ForwardPacket(const FlowTuple& aTuple,
-                             EntryFlow& aFlow,
-                             const Packet& aPacket,
-                             std::span<const uint8_t> aBytes,
-                             Instant aNow)
-{
-  ResolveOwner(aFlow, aPacket);
-  if (aFlow.mOwner) {
-    mOutput.SendToAgent(aBytes, *aFlow.mOwner, 0, TransitMark::Owner);
-    return;
-  }
-  // The reply of the agent that accepted the flow was lost or is in transit.
-  if (!aFlow.mOffers.empty()) {
-    for (const Offer& offer : aFlow.mOffers) {
-      if (offer.mState != OfferState::Refused) {
-        mOutput.SendToAgent(aBytes, offer.mAgent, 0, TransitMark::OwnerLookup);
-      }
-    }
-    return;
-  }
-  LookUpOwner(aTuple, aFlow, aBytes, aNow);
-}
-
-void
-FlowEntryCore::LookUpOwner(const FlowTuple& aTuple,
-                           EntryFlow& aFlow,
-                           std::span<const uint8_t> aBytes,
-                           Instant aNow)
-{
-  Servers servers;
-  const auto route = mRoutes->mRoutes.find(aTuple.mService);
-  if (route != mRoutes->mRoutes.end()) {
-    servers = ServersOf(route->second);
-  } else if (const auto removed = mRemovedRoutes.find(aTuple.mService);
-             removed != mRemovedRoutes.end()) {
-    servers = ServersOf(removed->second);
-  }
-  if (servers.empty() || ++aFlow.mLookupAttempts > kMaxLookups) {
-    ReportDecision(Verdict::Dropped,
-                   aTuple,
-                   aFlow,
-                   {},
-                   Refusal::None,
-                   servers.empty() ? "route-unknown" : "owner-not-found",
-                   aNow);
-    return;
-  }
-  const size_t limit = aFlow.mLookupAttempts <= kNarrowLookups
-                         ? kNarrowLookupLimit
-                         : kWideLookupLimit;
-  for (const Candidate& candidate :
-       RankByHash(FlowHash(aTuple), servers, mDomain, limit)) {
-    mOutput.SendToAgent(
-      aBytes, candidate.mRecord->mAgent, 0, TransitMark::OwnerLookup);
-  }
-  ReportDecision(Verdict::Locating, aTuple, aFlow, {}, Refusal::None, {}, aNow);
-}
-
 void
 FlowEntryCore::OfferDeferredFlows(Instant aNow)
 {
@@ -352,18 +211,24 @@
       return mRoutes->mRoutes.contains(aRemoved.first);
     });
   }
-  RebuildServers();
+  RebuildTables(aNow);
   if (mReplica.Complete()) {
     OfferDeferredFlows(aNow);
   }
 }
 
 void
-FlowEntryCore::RebuildServers()
+FlowEntryCore::RebuildTables(Instant aNow)
 {
-  mServers.clear();
+  std::erase_if(mKnownSince, [this](const auto& aKnown) {
+    return !mReplica.Backends().contains(aKnown.first);
+  });
+  mTables.clear();
   for (const auto& [name, record] : mReplica.Backends()) {
-    mServers[record.mService].push_back(&record);
+    const Instant knownSince =
+      mKnownSince.try_emplace(name, aNow).first->second;
+    mTables[record.mService].Add(
+      record, mReplica.RecordCreated(name), knownSince);
   }
   std::erase_if(mViews, [this](const auto& aView) {
     return !mReplica.Backends().contains(cluster::RecordName(aView.first));
--- /dev/null
+++ b/src/Flow/FlowEntryCoreLookup.cpp
@@ -0,0 +1,265 @@
+// Packets of open flows: their owner, the search for it, and the reset of flows
+// whose owner has ended.
+
+#include <snipepost/Flow/FlowEntryCore.h>
+
+#include <algorithm>
+
+namespace snipepost::flow {
+
+namespace {
+
+/// A flow with at most this many possible owners is looked up at all of them at
+/// once; otherwise the first attempt asks only the best ranked ones, since most
+/// owners are among them.
+constexpr size_t kFirstLookupLimit = 12;
+/// Servers of the local failure domain, and of all others together, that such a
+/// first attempt asks.
+constexpr size_t kNarrowLookupLimit = 4;
+
+/// Attempts after which servers outside the candidates are asked, too: an entry
+/// instance of the previous version may have offered the flow to them.
+constexpr uint32_t kCandidateLookups = 2;
+
+/// Limit of the agents that one attempt asks.
+constexpr size_t kMaxLookupTargets = 128;
+
+/// Attempts after which the packets of a flow are dropped.
+constexpr uint32_t kMaxLookups = 24;
+
+/// Largest distance of a caller's acknowledgement from the backend server's
+/// initial sequence number, for the first packets of a flow. Also the largest
+/// difference between the acknowledgements of successive packets of a flow.
+constexpr uint32_t kAckWindow = 1U << 20;
+
+bool
+Contains(const std::vector<cluster::NodeIp>& aNodes, cluster::NodeIp aNode)
+{
+  return std::ranges::find(aNodes, aNode) != aNodes.end();
+}
+
+cluster::NodeIp
+AgentIp(const cluster::BackendRecord* aRecord)
+{
+  return cluster::NodeIp(aRecord->mAgent.mIp);
+}
+
+/// True when the packets belong to different flows with the same addresses.
+bool
+BelongToDifferentFlows(const Packet& aEarlier, const Packet& aLater)
+{
+  const uint32_t forward = aLater.mAcknowledgement - aEarlier.mAcknowledgement;
+  return forward >= kAckWindow && 0U - forward >= kAckWindow;
+}
+
+} // namespace
+
+void
+FlowEntryCore::OnOwnerNotice(cluster::NodeIp aFrom,
+                             const OwnerNotice& aNotice,
+                             Instant aNow)
+{
+  const auto found = mFlows.find(aNotice.mFlow);
+  if (found == mFlows.end()) {
+    return;
+  }
+  EntryFlow& flow = found->second;
+  if (!aNotice.mOwned) {
+    if (flow.mOwner && flow.mOwner->mIp == aFrom.Value()) {
+      flow.mOwner.reset();
+      flow.mResolved = true;
+      flow.mOffers.clear();
+    }
+    return;
+  }
+  for (const auto& [name, record] : mReplica.Backends()) {
+    if (record.mAgent.mIp == aFrom.Value()) {
+      flow.mOwner = record.mAgent;
+      flow.mResolved = true;
+      flow.mLookup = OwnerLookup();
+      // The reply to the offer was lost; no further offer is made.
+      SetDeadline(aNotice.mFlow, flow, std::nullopt);
+      mViews[record.mAgent].mUnansweredOffers = 0;
+      ReportDecision(Verdict::Located,
+                     aNotice.mFlow,
+                     flow,
+                     record.mAgent,
+                     Refusal::None,
+                     {},
+                     aNow);
+      return;
+    }
+  }
+}
+
+void
+FlowEntryCore::OnOwnerExclusion(cluster::NodeIp aFrom,
+                                const OwnerExclusion& aExclusion,
+                                Instant aNow)
+{
+  const auto found = mFlows.find(aExclusion.mFlow);
+  if (found == mFlows.end() || found->second.mOwner ||
+      found->second.mRejected) {
+    return;
+  }
+  OwnerLookup& lookup = found->second.mLookup;
+  // With older records this instance may not know the owner yet.
+  const auto records = mReplica.Version(cluster::Part::Backends);
+  if (!Contains(lookup.mPending, aFrom) ||
+      cluster::HasNewerContent(aExclusion.mRecords, records)) {
+    return;
+  }
+  std::erase(lookup.mPending, aFrom);
+  lookup.mExcluded.push_back(aFrom);
+  if (lookup.mPending.empty() && lookup.mConclusive) {
+    RejectOrphan(aExclusion.mFlow, found->second, aNow);
+  }
+}
+
+void
+FlowEntryCore::RejectOrphan(const FlowTuple& aTuple,
+                            EntryFlow& aFlow,
+                            Instant aNow)
+{
+  aFlow.mRejected = true;
+  aFlow.mClosing = true;
+  mOutput.SendReset(aFlow.mLookup.mPacket);
+  ReportDecision(
+    Verdict::Rejected, aTuple, aFlow, {}, Refusal::None, "owner-ended", aNow);
+}
+
+void
+FlowEntryCore::ResolveOwner(EntryFlow& aFlow, const Packet& aPacket)
+{
+  if (aFlow.mResolved || !aPacket.mAck) {
+    return;
+  }
+  for (const Offer& offer : aFlow.mOffers) {
+    const uint32_t distance =
+      aPacket.mAcknowledgement - offer.mBackendSequence - 1;
+    if (offer.mState == OfferState::Accepted && distance < kAckWindow) {
+      aFlow.mOwner = offer.mAgent;
+      aFlow.mResolved = true;
+      return;
+    }
+  }
+}
+
+void
+FlowEntryCore::ForwardPacket(const FlowTuple& aTuple,
+                             EntryFlow& aFlow,
+                             const Packet& aPacket,
+                             std::span<const uint8_t> aBytes,
+                             Instant aNow)
+{
+  ResolveOwner(aFlow, aPacket);
+  if (aFlow.mOwner) {
+    mOutput.SendToAgent(aBytes, *aFlow.mOwner, 0, TransitMark::Owner);
+    return;
+  }
+  // The reply of the agent that accepted the flow was lost or is in transit.
+  if (!aFlow.mOffers.empty()) {
+    for (const Offer& offer : aFlow.mOffers) {
+      if (offer.mState != OfferState::Refused) {
+        mOutput.SendToAgent(aBytes, offer.mAgent, 0, TransitMark::OwnerLookup);
+      }
+    }
+    return;
+  }
+  LookUpOwner(aTuple, aFlow, aPacket, aBytes, aNow);
+}
+
+const cluster::Route*
+FlowEntryCore::FindRoute(const FlowTuple& aTuple) const
+{
+  const auto route = mRoutes->mRoutes.find(aTuple.mService);
+  if (route != mRoutes->mRoutes.end()) {
+    return &route->second;
+  }
+  const auto removed = mRemovedRoutes.find(aTuple.mService);
+  return removed == mRemovedRoutes.end() ? nullptr : &removed->second;
+}
+
+FlowEntryCore::Servers
+FlowEntryCore::LookupTargets(const FlowTuple& aTuple,
+                             const cluster::Route& aRoute,
+                             OwnerLookup& aLookup,
+                             Instant aNow) const
+{
+  const uint64_t hash = FlowHash(aTuple);
+  Servers owners;
+  Servers narrow;
+  Servers all;
+  for (const cluster::WeightedService& share : aRoute.mServices) {
+    const auto table = mTables.find(share.mService);
+    if (table == mTables.end()) {
+      continue;
+    }
+    table->second.AppendPossibleOwners(hash, aNow, mOptions.mFlowLimit, owners);
+    if (aLookup.mAttempts > kCandidateLookups) {
+      table->second.AppendAll(hash, all);
+    }
+    size_t local = 0;
+    size_t remote = 0;
+    for (const Candidate& candidate :
+         table->second.Candidates(hash, mOptions.mDomain)) {
+      size_t& count = candidate.mLocal ? local : remote;
+      if (count++ < kNarrowLookupLimit) {
+        narrow.push_back(candidate.mRecord);
+      }
+    }
+  }
+  const auto isExcluded = [&aLookup](const cluster::BackendRecord* aRecord) {
+    return Contains(aLookup.mExcluded, AgentIp(aRecord));
+  };
+  std::erase_if(owners, isExcluded);
+  aLookup.mPending.clear();
+  std::ranges::transform(
+    owners, std::back_inserter(aLookup.mPending), &AgentIp);
+  aLookup.mConclusive = owners.size() <= kMaxLookupTargets;
+  if (aLookup.mAttempts == 1 && owners.size() > kFirstLookupLimit) {
+    return narrow;
+  }
+  if (all.empty()) {
+    std::swap(all, owners);
+  }
+  std::erase_if(all, isExcluded);
+  all.resize(std::min(all.size(), kMaxLookupTargets));
+  return all;
+}
+
+void
+FlowEntryCore::LookUpOwner(const FlowTuple& aTuple,
+                           EntryFlow& aFlow,
+                           const Packet& aPacket,
+                           std::span<const uint8_t> aBytes,
+                           Instant aNow)
+{
+  if (aFlow.mRejected) {
+    mOutput.SendReset(aPacket);
+    return;
+  }
+  OwnerLookup& lookup = aFlow.mLookup;
+  if (lookup.mAttempts > 0 && BelongToDifferentFlows(lookup.mPacket, aPacket)) {
+    lookup = OwnerLookup();
+  }
+  lookup.mPacket = aPacket;
+  const cluster::Route* route = FindRoute(aTuple);
+  if (!route || ++lookup.mAttempts > kMaxLookups) {
+    ReportDecision(Verdict::Dropped,
+                   aTuple,
+                   aFlow,
+                   {},
+                   Refusal::None,
+                   route ? "owner-not-found" : "route-unknown",
+                   aNow);
+    return;
+  }
+  for (const cluster::BackendRecord* server :
+       LookupTargets(aTuple, *route, lookup, aNow)) {
+    mOutput.SendToAgent(aBytes, server->mAgent, 0, TransitMark::OwnerLookup);
+  }
+  ReportDecision(Verdict::Locating, aTuple, aFlow, {}, Refusal::None, {}, aNow);
+}
+
+} // namespace snipepost::flow
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -94,26 +94,29 @@
                                   const EntryFlow& aFlow,
                                   const std::string& aService)
 {
-  Servers eligible;
-  const auto found = mServers.find(aService);
-  if (found == mServers.end()) {
+  const auto table = mTables.find(aService);
+  if (table == mTables.end()) {
     return {};
   }
-  for (const cluster::BackendRecord* server : found->second) {
+  std::vector<Candidate> eligible;
+  size_t local = 0;
+  size_t remote = 0;
+  for (Candidate& candidate :
+       table->second.Candidates(FlowHash(aTuple), mOptions.mDomain)) {
+    const cluster::BackendRecord& server = *candidate.mRecord;
     const auto offered =
-      std::ranges::find(aFlow.mOffers, server->mAgent, &Offer::mAgent);
-    if (server->mState == cluster::BackendState::Ready &&
-        !mReplica.Evacuated(server->mDomain) &&
-        offered == aFlow.mOffers.end()) {
-      eligible.push_back(server);
+      std::ranges::find(aFlow.mOffers, server.mAgent, &Offer::mAgent);
+    size_t& count = candidate.mLocal ? local : remote;
+    if (count == kCandidateLimit ||
+        server.mState != cluster::BackendState::Ready ||
+        mReplica.Evacuated(server.mDomain) || offered != aFlow.mOffers.end()) {
+      continue;
     }
+    ++count;
+    candidate.mView = &mViews[server.mAgent];
+    eligible.push_back(candidate);
   }
-  auto candidates =
-    RankByHash(FlowHash(aTuple), eligible, mDomain, kCandidateLimit);
-  for (Candidate& candidate : candidates) {
-    candidate.mView = &mViews[candidate.mRecord->mAgent];
-  }
-  return candidates;
+  return eligible;
 }
 
 void
@@ -171,21 +174,16 @@
     return false;
   }
   const Address agent = leastLoaded->mAgent;
-  const auto servers = mServers.find(aService);
-  if (servers == mServers.end()) {
-    return false;
-  }
-  const auto record =
-    std::ranges::find(servers->second, agent, &cluster::BackendRecord::mAgent);
-  if (record == servers->second.end()) {
+  const auto record = mReplica.Backends().find(cluster::RecordName(agent));
+  if (record == mReplica.Backends().end() ||
+      record->second.mService != aService) {
     return false;
   }
   std::erase_if(aFlow.mOffers, [&agent](const Offer& aOffer) {
     return aOffer.mAgent == agent;
   });
-  const Candidate candidate{
-    *record, &mViews[agent], (*record)->mDomain == mDomain, 0
-  };
+  const bool isLocal = record->second.mDomain == mOptions.mDomain;
+  const Candidate candidate{ &record->second, &mViews[agent], isLocal, 0 };
   SendOffer(aTuple, aFlow, candidate, TransitMark::OfferFinal, aNow);
   return true;
 }
--- a/src/Flow/NodeMessage.cpp
+++ b/src/Flow/NodeMessage.cpp
@@ -17,6 +17,7 @@
   Digest = 1,
   OfferReply = 2,
   OwnerNotice = 3,
+  OwnerExclusion = 4,
 };
 
 constexpr uint8_t kReplyWanted = 1;
@@ -74,6 +75,24 @@
   aOut.U8(static_cast<uint8_t>(aType));
 }
 
+void
+WriteVersion(ByteWriter& aOut, const cluster::PartVersion& aVersion)
+{
+  aOut.U8(aVersion.mLoaded ? 1 : 0);
+  aOut.U64(aVersion.mRevision.Value());
+  aOut.U32(aVersion.mContentHash);
+}
+
+cluster::PartVersion
+ReadVersion(ByteReader& aIn)
+{
+  cluster::PartVersion version;
+  version.mLoaded = aIn.U8() == 1;
+  version.mRevision = cluster::Revision(aIn.U64());
+  version.mContentHash = aIn.U32();
+  return version;
+}
+
 void
 Write(ByteWriter& aOut, const cluster::Digest& aDigest)
 {
@@ -82,9 +101,7 @@
   aOut.U8(static_cast<uint8_t>((aDigest.mReplyWanted ? kReplyWanted : 0) |
                                (agent ? kAgentRole : 0)));
   for (const cluster::PartVersion& part : aDigest.mParts) {
-    aOut.U8(part.mLoaded ? 1 : 0);
-    aOut.U64(part.mRevision.Value());
-    aOut.U32(part.mContentHash);
+    WriteVersion(aOut, part);
   }
   const size_t watchers =
     std::min(aDigest.mWatchers.size(), cluster::Digest::kMaxWatchers);
@@ -122,6 +139,14 @@
   aOut.U8(aNotice.mOwned ? 1 : 0);
 }
 
+void
+Write(ByteWriter& aOut, const OwnerExclusion& aExclusion)
+{
+  WriteHeader(aOut, Type::OwnerExclusion);
+  WriteFlow(aOut, aExclusion.mFlow);
+  WriteVersion(aOut, aExclusion.mRecords);
+}
+
 std::optional<NodeMessage>
 ReadDigest(ByteReader& aIn)
 {
@@ -131,9 +156,7 @@
   digest.mRole =
     (flags & kAgentRole) ? cluster::NodeRole::Agent : cluster::NodeRole::Entry;
   for (cluster::PartVersion& part : digest.mParts) {
-    part.mLoaded = aIn.U8() == 1;
-    part.mRevision = cluster::Revision(aIn.U64());
-    part.mContentHash = aIn.U32();
+    part = ReadVersion(aIn);
   }
   const size_t watchers = aIn.U8();
   if (watchers > cluster::Digest::kMaxWatchers) {
@@ -180,6 +203,15 @@
   return notice;
 }
 
+std::optional<NodeMessage>
+ReadOwnerExclusion(ByteReader& aIn)
+{
+  OwnerExclusion exclusion;
+  exclusion.mFlow = ReadFlow(aIn);
+  exclusion.mRecords = ReadVersion(aIn);
+  return exclusion;
+}
+
 } // namespace
 
 std::string_view
@@ -216,6 +248,9 @@
     case Type::OwnerNotice:
       message = ReadOwnerNotice(in);
       break;
+    case Type::OwnerExclusion:
+      message = ReadOwnerExclusion(in);
+      break;
   }
   if (!in.Ok() || !in.Rest().empty()) {
     return std::nullopt;
--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -11,6 +11,9 @@
 /// Consecutive failed writes after which a write is relayed through a peer: the
 /// store may reject this instance and serve others.
 constexpr uint32_t kFailuresBeforeRelay = 2;
+/// A backend server that has sent no heartbeat for this long, several
+/// intervals, has ended.
+constexpr Duration kHeartbeatTimeout = std::chrono::seconds(5);
 
 flow::AgentOptions
 MakeAgentOptions(const NodeSettings& aSettings)
@@ -51,11 +54,13 @@
                          platform::IsReadinessProbe(aRequest);
                        return http1::Response{ isProbe ? 200U : 404U, {} };
                      })
-  , mDeadlines(aContext, [this] {
-    mBackendSocket.Drain();
-    mCore.OnTimer(mNode.Now());
-    FinishBatch();
-  })
+  , mDeadlines(aContext,
+               [this] {
+                 mBackendSocket.Drain();
+                 mCore.OnTimer(mNode.Now());
+                 FinishBatch();
+               })
+  , mLastHeartbeat(aNode.Now())
 {
   mSocket.Start(*this);
   mBackendSocket.Start(mBackendPacketHandler);
@@ -101,6 +106,7 @@
 AgentNode::OnHeartbeat(const flow::Heartbeat& aHeartbeat)
 {
   mNode.Metrics().mHeartbeats.Add();
+  mLastHeartbeat = mNode.Now();
   const auto outcome = mCore.OnHeartbeat(aHeartbeat, mNode.Now());
   if (outcome == flow::HeartbeatOutcome::Unchanged) {
     return;
@@ -125,22 +131,31 @@
 AgentNode::Announce()
 {
   const flow::BackendStatus& status = mCore.Status();
-  if (mStopping || status.Deregistered()) {
+  if (status.Deregistered() || (mStopping && !MayHaveFlows())) {
     mPublisher.SetDesired(std::nullopt);
   } else if (status.HasHeartbeat()) {
     cluster::BackendRecord record;
     record.mService = mNode.Settings().mService;
     record.mAgent = mNode.Settings().Identity();
     record.mDomain = mNode.Settings().mDomain;
-    record.mState = status.Draining() ? cluster::BackendState::Draining
-                                      : cluster::BackendState::Ready;
+    record.mState = mStopping || status.Draining()
+                      ? cluster::BackendState::Draining
+                      : cluster::BackendState::Ready;
     record.mSlots = status.Slots();
-    record.mStartTimeMs = status.StartTime();
     mPublisher.SetDesired(cluster::EncodeRecord(record));
   }
   PublishRecord();
 }
 
+// Entry instances consider the flows of a server without a record lost.
+bool
+AgentNode::MayHaveFlows() const
+{
+  const Instant now = mNode.Now();
+  const bool running = now - mLastHeartbeat <= kHeartbeatTimeout;
+  return running && (!mCore.TracksAllFlows(now) || mCore.OpenFlows() > 0);
+}
+
 void
 AgentNode::UpdatePublisher()
 {
@@ -196,7 +211,14 @@
 AgentNode::OnTick()
 {
   const Instant now = mNode.Now();
-  PublishRecord();
+  if (mStopping) {
+    Announce();
+  } else {
+    PublishRecord();
+  }
+  if (const auto stored = mPublisher.Stored()) {
+    mCore.SetRecordStored(*stored, now);
+  }
   if (now >= mNextExpiry) {
     mNextExpiry = now + kExpiryInterval;
     mCore.Expire(now);
@@ -285,6 +307,13 @@
   SendMessage(aNode, aNotice);
 }
 
+void
+AgentNode::SendToNode(cluster::NodeIp aNode,
+                      const flow::OwnerExclusion& aExclusion)
+{
+  SendMessage(aNode, aExclusion);
+}
+
 void
 AgentNode::SendMessage(cluster::NodeIp aNode, const flow::NodeMessage& aMessage)
 {
--- a/src/FlowDaemon/AgentNode.h
+++ b/src/FlowDaemon/AgentNode.h
@@ -32,6 +32,9 @@
   void OnBatchEnd() override;
   void OnOfferReply(cluster::NodeIp, const flow::OfferReply&) override {}
   void OnOwnerNotice(cluster::NodeIp, const flow::OwnerNotice&) override {}
+  void OnOwnerExclusion(cluster::NodeIp, const flow::OwnerExclusion&) override
+  {
+  }
   void OnReplicaChanged(cluster::Part aPart) override;
   void OnTick() override;
   void OnMessagesHandled() override;
@@ -43,6 +46,8 @@
                   const flow::OfferReply& aReply) override;
   void SendToNode(cluster::NodeIp aNode,
                   const flow::OwnerNotice& aNotice) override;
+  void SendToNode(cluster::NodeIp aNode,
+                  const flow::OwnerExclusion& aExclusion) override;
 
 private:
   /// Receives the packets of the backend server.
@@ -67,6 +72,8 @@
   /// Updates the desired record from the status of the backend server, and
   /// publishes it.
   void Announce();
+  /// False when the backend server has no open flow or has ended.
+  bool MayHaveFlows() const;
   void UpdatePublisher();
   void PublishRecord();
   void OnWritten(cluster::WriteResult aResult);
@@ -86,6 +93,8 @@
   http1::Server mReadinessServer;
   DeadlineTimer mDeadlines;
   Instant mNextExpiry;
+  /// Start of the agent until the first heartbeat.
+  Instant mLastHeartbeat;
   bool mStopping = false;
 };
 
--- a/src/FlowDaemon/EntryNode.cpp
+++ b/src/FlowDaemon/EntryNode.cpp
@@ -18,7 +18,11 @@
 
 EntryNode::EntryNode(asio::io_context& aContext, Node& aNode)
   : mNode(aNode)
-  , mCore(aNode.Settings().mDomain, aNode.State(), *this, aNode)
+  , mCore({ aNode.Settings().mDomain, aNode.Settings().mFlowLimit },
+          aNode.State(),
+          *this,
+          aNode,
+          aNode.Now())
   , mSocket(aContext, aNode.Settings().mPackets)
   , mReadinessServer(aContext,
                      aNode.Settings().mReadiness,
@@ -95,6 +99,13 @@
   mCore.OnOwnerNotice(aFrom, aNotice, mNode.Now());
 }
 
+void
+EntryNode::OnOwnerExclusion(cluster::NodeIp aFrom,
+                            const flow::OwnerExclusion& aExclusion)
+{
+  mCore.OnOwnerExclusion(aFrom, aExclusion, mNode.Now());
+}
+
 void
 EntryNode::OnReplicaChanged(cluster::Part aPart)
 {
--- a/src/FlowDaemon/EntryNode.h
+++ b/src/FlowDaemon/EntryNode.h
@@ -31,6 +31,8 @@
                     const flow::OfferReply& aReply) override;
   void OnOwnerNotice(cluster::NodeIp aFrom,
                      const flow::OwnerNotice& aNotice) override;
+  void OnOwnerExclusion(cluster::NodeIp aFrom,
+                        const flow::OwnerExclusion& aExclusion) override;
   void OnReplicaChanged(cluster::Part aPart) override;
   void OnTick() override;
   void OnMessagesHandled() override;
--- a/src/FlowDaemon/Node.cpp
+++ b/src/FlowDaemon/Node.cpp
@@ -208,6 +208,9 @@
     mRole->OnOfferReply(from, *reply);
   } else if (const auto* notice = std::get_if<flow::OwnerNotice>(&*message)) {
     mRole->OnOwnerNotice(from, *notice);
+  } else if (const auto* exclusion =
+               std::get_if<flow::OwnerExclusion>(&*message)) {
+    mRole->OnOwnerExclusion(from, *exclusion);
   }
 }
 
--- a/src/FlowDaemon/Node.h
+++ b/src/FlowDaemon/Node.h
@@ -34,6 +34,8 @@
                             const flow::OfferReply& aReply) = 0;
   virtual void OnOwnerNotice(cluster::NodeIp aFrom,
                              const flow::OwnerNotice& aNotice) = 0;
+  virtual void OnOwnerExclusion(cluster::NodeIp aFrom,
+                                const flow::OwnerExclusion& aExclusion) = 0;
   virtual void OnReplicaChanged(cluster::Part aPart) = 0;
   /// Called every kTick.
   virtual void OnTick() = 0;
--- a/tests/Cluster/RecordPublisherTest.cpp
+++ b/tests/Cluster/RecordPublisherTest.cpp
@@ -2,6 +2,8 @@
 
 #include <snipepost/Cluster/RecordPublisher.h>
 
+#include "tests/Cluster/Samples.h"
+
 using namespace snipepost;
 using namespace snipepost::cluster;
 using namespace std::chrono_literals;
@@ -52,6 +54,26 @@
   BOOST_TEST((write->mAction == RecordWrite::Action::Create));
 }
 
+// The revision at which a record was created must show from when on the server
+// has belonged to its service, since lookups of owners rely on it.
+BOOST_AUTO_TEST_CASE(RecordOfAnotherServiceIsRemovedBeforeTheNewOneIsCreated)
+{
+  BackendRecord record = SampleRecord(1);
+  RecordPublisher publisher("n", 1);
+  publisher.OnReplicaState(Revision(5), Stored(4, EncodeRecord(record)));
+  record.mService = "store";
+  publisher.SetDesired(EncodeRecord(record));
+  const auto removal = publisher.NextWrite(kStart);
+  BOOST_REQUIRE(removal.has_value());
+  BOOST_TEST((removal->mAction == RecordWrite::Action::Remove));
+  BOOST_TEST(removal->mExpected.Value() == 4U);
+  publisher.OnOutcome(WriteOutcome::Done, std::nullopt, kStart);
+  BOOST_TEST(!*publisher.Stored());
+  const auto creation = publisher.NextWrite(kStart);
+  BOOST_REQUIRE(creation.has_value());
+  BOOST_TEST((creation->mAction == RecordWrite::Action::Create));
+}
+
 // The replica does not reflect a completed write at once; the write must not be
 // repeated.
 BOOST_AUTO_TEST_CASE(OlderReplicaStateAfterAWriteIsIgnored)
--- a/tests/Cluster/ReplicaTest.cpp
+++ b/tests/Cluster/ReplicaTest.cpp
@@ -102,4 +102,34 @@
   }
 }
 
+// Lookups of owners need the revision at which a record was created; nodes of
+// the previous version do not send it.
+BOOST_AUTO_TEST_CASE(SnapshotsContainTheRevisionOfCreation)
+{
+  Replica first(&DecodeSampleConfig);
+  ObjectChange change = RecordChange(1, 8);
+  change.mCreated = Revision(3);
+  first.ApplySnapshot(Part::Backends, { Revision(8), { change } });
+  const auto snapshot =
+    Replica::DecodeSnapshot(first.EncodeSnapshot(Part::Backends));
+  BOOST_REQUIRE(snapshot.has_value());
+  Replica second(&DecodeSampleConfig);
+  second.ApplySnapshot(Part::Backends, *snapshot);
+  BOOST_TEST(second.RecordCreated(change.mName).Value() == 3U);
+  const auto previous = Replica::DecodeSnapshot(
+    R"({"revision":8,"objects":[{"name":"n","revision":8,"text":"{}"}]})");
+  BOOST_REQUIRE(previous.has_value());
+  BOOST_TEST(previous->mObjects[0].mCreated.Value() == 0U);
+}
+
+// A restart of all backend servers must not make all agents write their
+// records: the store and every node would handle the changes while callers
+// wait.
+BOOST_AUTO_TEST_CASE(RecordDoesNotDependOnTheStartOfTheServer)
+{
+  const std::string text = EncodeRecord(SampleRecord(1));
+  BOOST_TEST(text.find(R"("born":0)") != std::string::npos);
+  BOOST_TEST(DecodeRecord(text).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Flow/FlowAgentCoreTest.cpp
+++ b/tests/Flow/FlowAgentCoreTest.cpp
@@ -45,6 +45,10 @@
   {
     mNotices.emplace_back(aNode, aNotice);
   }
+  void SendToNode(NodeIp aNode, const OwnerExclusion& aExclusion) override
+  {
+    mExclusions.emplace_back(aNode, aExclusion);
+  }
 
   HeartbeatOutcome SendHeartbeat(uint64_t aStartTime = 5,
                                  uint64_t aSequence = 1)
@@ -66,6 +70,7 @@
     Packet packet = SynPacket({ kCaller.mIp, aPort }, 100, aRetransmission);
     packet.mServiceTag = ServiceTag("desk");
     packet.mMark = aMark;
+    packet.mOfferedToCandidate = mOffersToCandidates;
     mCore->OnNodePacket(packet, mBytes, kEntry, mNow);
   }
 
@@ -105,11 +110,13 @@
   cluster::Replica mReplica;
   FakeDecisions mDecisions;
   Instant mNow{ 100s };
+  bool mOffersToCandidates = true;
   size_t mToBackend = 0;
   size_t mToCaller = 0;
   size_t mResets = 0;
   std::vector<std::pair<NodeIp, OfferReply>> mReplies;
   std::vector<std::pair<NodeIp, OwnerNotice>> mNotices;
+  std::vector<std::pair<NodeIp, OwnerExclusion>> mExclusions;
   std::unique_ptr<FlowAgentCore> mCore;
 };
 
@@ -459,4 +466,88 @@
   BOOST_TEST(!mCore->NextDeadline().has_value());
 }
 
+// An entry instance that looks up the owner resets the flow when every possible
+// owner has excluded itself, so an agent must reply.
+BOOST_AUTO_TEST_CASE(AgentThatTracksAllFlowsExcludesItself)
+{
+  SendHeartbeat(5, 1);
+  CallerSends(9, TransitMark::OwnerLookup, kOtherEntry);
+  BOOST_REQUIRE(mExclusions.size() == 1U);
+  BOOST_TEST((mExclusions[0].first == kOtherEntry));
+  BOOST_TEST((mExclusions[0].second.mFlow.mCaller.mPort == 9));
+  BOOST_TEST(
+    (mExclusions[0].second.mRecords == mReplica.Version(Part::Backends)));
+  BOOST_TEST(mToBackend == 0U);
+}
+
+// A restarted agent does not know the flows of its running backend server; only
+// the server can tell.
+BOOST_AUTO_TEST_CASE(
+  RestartedAgentExcludesItselfOnlyAfterTheServerReturnedThePacket)
+{
+  SendHeartbeat(5, 40);
+  CallerSends(9, TransitMark::OwnerLookup);
+  BOOST_TEST(mExclusions.empty());
+  BOOST_TEST(mToBackend == 1U);
+  BackendReturns(9, false);
+  BOOST_REQUIRE(mExclusions.size() == 1U);
+  BOOST_TEST(mNotices.empty());
+}
+
+// The owner, also of a flow that the caller has not continued yet, must never
+// exclude itself.
+BOOST_AUTO_TEST_CASE(OwnerDoesNotExcludeItself)
+{
+  SendHeartbeat(5, 1);
+  SendOffer(1);
+  BackendSends(1, true);
+  CallerSends(1, TransitMark::OwnerLookup);
+  BOOST_TEST(mExclusions.empty());
+  BOOST_REQUIRE(mNotices.size() == 1U);
+  BOOST_TEST(mNotices[0].second.mOwned);
+}
+
+// An entry instance of the previous version may have offered a flow to a server
+// that lookups do not ask, so exclusions would prove nothing.
+BOOST_AUTO_TEST_CASE(OffersOutsideTheCandidatesPreventExclusions)
+{
+  SendHeartbeat(5, 1);
+  mOffersToCandidates = false;
+  SendOffer(1);
+  CallerSends(9, TransitMark::OwnerLookup);
+  BOOST_TEST(mExclusions.empty());
+  mNow += 61s;
+  CallerSends(9, TransitMark::OwnerLookup);
+  BOOST_TEST(mExclusions.size() == 1U);
+}
+
+// A flow that is opened before other entry instances know the record would be
+// taken for lost by them.
+BOOST_AUTO_TEST_CASE(NewRecordIsAnnouncedBeforeFlowsAreAccepted)
+{
+  SendHeartbeat();
+  mCore->SetRecordStored(false, mNow);
+  SendOffer(1);
+  BOOST_TEST((LastRefusal() == Refusal::NotReady));
+  mCore->SetRecordStored(true, mNow);
+  mNow += 500ms;
+  SendOffer(1);
+  BOOST_TEST((LastRefusal() == Refusal::NotReady));
+  BOOST_TEST(mToBackend == 0U);
+  mNow += 501ms;
+  mCore->SetRecordStored(true, mNow);
+  SendOffer(1);
+  BOOST_TEST(mToBackend == 1U);
+}
+
+// An agent that restarts finds its record stored: the recovery from a power
+// loss is not delayed.
+BOOST_AUTO_TEST_CASE(AgentWithAStoredRecordAcceptsFlowsAtOnce)
+{
+  SendHeartbeat();
+  mCore->SetRecordStored(true, mNow);
+  SendOffer(1);
+  BOOST_TEST(mToBackend == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/PacketCodecTest.cpp
+++ b/tests/platform/PacketCodecTest.cpp
@@ -48,11 +48,23 @@
   BOOST_REQUIRE(packet.has_value());
   BOOST_TEST(packet->mServiceTag == 0xdeadbeefU);
   BOOST_TEST((packet->mMark == flow::TransitMark::OfferFinal));
+  BOOST_TEST(packet->mOfferedToCandidate);
   platform::WriteTransitFields(bytes, 0, flow::TransitMark::Owner);
   BOOST_CHECK_EQUAL_COLLECTIONS(
     bytes.begin(), bytes.end(), kSynPacket.begin(), kSynPacket.end());
 }
 
+// Entry instances of the previous version send the mark alone.
+BOOST_AUTO_TEST_CASE(OfferOfThePreviousVersionIsNotToACandidate)
+{
+  auto bytes = kSynPacket;
+  bytes[9] = static_cast<uint8_t>(flow::TransitMark::OfferIfFree);
+  const auto packet = platform::DecodePacket(bytes);
+  BOOST_REQUIRE(packet.has_value());
+  BOOST_TEST((packet->mMark == flow::TransitMark::OfferIfFree));
+  BOOST_TEST(!packet->mOfferedToCandidate);
+}
+
 BOOST_AUTO_TEST_CASE(RejectsWrongLengths)
 {
   auto bytes = kSynPacket;
