Flow: a lookup is made once for many packets, and asks all possible owners at once when the first ones are excluded

Two instances with 10 Mbit/s (frontend-connecticut-4 and -7) handled two to three times the lookups of the others, their offers stayed unanswered, and their lookups did not end. - With 24 to 30 possible owners (50 servers, an instance that has just started) a lookup took two attempts, and the second one waited for the caller's retransmission after 200 ms, the target latency of these requests. - An agent that got a lookup before the first heartbeat of its server never excluded itself, and in an evacuated failure domain did not ask the server.

Ruled out: records that differ between the nodes (all exclusions of seconds 39 and 40 carried revision 68, as did the instances), agents without reply (each of the 50 excluded itself).

Change: packets that arrive within 40 ms of an attempt wait for its outcome and are forwarded to the owner, 256 of them at most; when all agents that were asked have excluded themselves, the others are asked at once; packets of unknown flows no longer count as flows that are older than the agent.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -52,6 +52,10 @@
 class FlowEntryCore
 {
 public:
+  /// Limit of the packets that wait for the lookups of their flows, about
+  /// 300 kB.
+  static constexpr size_t kMaxWaitingPackets = 256;
+
   FlowEntryCore(EntryOptions aOptions,
                 const cluster::Replica& aReplica,
                 EntryOutput& aOutput,
@@ -90,6 +94,7 @@
   std::vector<std::string> DeadRecords(Instant aNow) const;
 
   size_t FlowCount() const { return mFlows.size(); }
+  size_t WaitingPackets() const { return mWaitingPackets; }
   /// Number of agents that are currently avoided for new flows.
   size_t AvoidedAgents(Instant aNow) const;
 
@@ -117,8 +122,17 @@
   struct OwnerLookup
   {
     uint32_t mAttempts = 0;
-    /// The packet that was looked up last.
+    /// Packets that arrive before this time wait for replies to the latest
+    /// attempt; a later one starts another.
+    Instant mNextAttempt;
+    std::vector<std::vector<uint8_t>> mWaiting;
+    /// The packet that was looked up last, decoded, and encoded while another
+    /// attempt may send it.
     Packet mPacket;
+    std::vector<uint8_t> mPacketBytes;
+    /// Agents that the latest attempt asked and that have not excluded
+    /// themselves.
+    std::vector<cluster::NodeIp> mAsked;
     /// Agents that have not excluded themselves; set by the latest attempt.
     std::vector<cluster::NodeIp> mPending;
     /// Agents that have excluded themselves.
@@ -196,6 +210,13 @@
                         const cluster::Route& aRoute,
                         OwnerLookup& aLookup,
                         Instant aNow) const;
+  /// Asks the next agents of a lookup with aBytes.
+  void StartLookupAttempt(const FlowTuple& aTuple,
+                          EntryFlow& aFlow,
+                          std::span<const uint8_t> aBytes,
+                          Instant aNow);
+  /// Ends the lookup of a flow and drops the packets that wait for it.
+  void EndLookup(EntryFlow& aFlow);
   /// Resets a flow whose possible owners have all excluded themselves.
   void RejectOrphan(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
   /// The current or removed route of the flow; null if there is none.
@@ -210,6 +231,7 @@
   Offer* FindOffer(EntryFlow& aFlow, cluster::NodeIp aAgent);
   void UpdateView(AgentView& aView, const OfferReply& aReply, Instant aNow);
   void RebuildTables(Instant aNow);
+  bool IsExpired(const EntryFlow& aFlow, Instant aNow) const;
   void ReportDecision(Verdict aVerdict,
                       const FlowTuple& aTuple,
                       const EntryFlow& aFlow,
@@ -235,6 +257,7 @@
   std::unordered_map<std::string, Instant> mKnownSince;
   std::unordered_map<Address, AgentView> mViews;
   Flows mFlows;
+  size_t mWaitingPackets = 0;
   RetryBudget mRetryBudget;
   Instant mOverloadSince;
   Instant mLastOverload;
--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -349,9 +349,13 @@
     mBackendStartedAfterAgent = true;
     mUnansweredSyns = 0;
   } else if (first && outcome == HeartbeatOutcome::Changed) {
-    // The first heartbeat of an incarnation, received before any of its flows,
-    // shows that no flow is older than the agent.
-    mBackendStartedAfterAgent = aHeartbeat.mSequence <= 1 && mFlows.empty();
+    // The first heartbeat of an incarnation, received before any packet of its
+    // flows, shows that no flow is older than the agent. Callers' packets of
+    // unknown flows show nothing.
+    mBackendStartedAfterAgent =
+      aHeartbeat.mSequence <= 1 &&
+      std::ranges::all_of(
+        mFlows, [](const auto& aItem) { return aItem.second.mTentative; });
   }
   return outcome;
 }
--- a/src/Flow/FlowEntryCore.cpp
+++ b/src/Flow/FlowEntryCore.cpp
@@ -65,9 +65,11 @@
 FlowEntryCore::AddFlow(const FlowTuple& aTuple, Instant aNow)
 {
   if (mFlows.size() >= kMaxFlows) {
+    EndLookup(mFlows.begin()->second);
     mFlows.erase(mFlows.begin());
   }
   EntryFlow& flow = mFlows[aTuple];
+  EndLookup(flow);
   SetDeadline(aTuple, flow, std::nullopt);
   flow = EntryFlow();
   flow.mOpenedAt = aNow;
@@ -238,18 +240,27 @@
 void
 FlowEntryCore::Expire(Instant aNow)
 {
-  const Duration idle = mRoutes->mIdleTimeout;
-  std::erase_if(mFlows, [&](const auto& aItem) {
-    const EntryFlow& flow = aItem.second;
-    const Duration sinceLastSeen = aNow - flow.mLastSeen;
-    if (flow.mClosing) {
-      return sinceLastSeen > kClosedRetention;
-    }
-    if (!flow.mOwner) {
-      return sinceLastSeen > kHalfOpenRetention;
+  for (auto at = mFlows.begin(); at != mFlows.end();) {
+    if (!IsExpired(at->second, aNow)) {
+      ++at;
+      continue;
     }
-    return sinceLastSeen > idle;
-  });
+    EndLookup(at->second);
+    at = mFlows.erase(at);
+  }
+}
+
+bool
+FlowEntryCore::IsExpired(const EntryFlow& aFlow, Instant aNow) const
+{
+  const Duration sinceLastSeen = aNow - aFlow.mLastSeen;
+  if (aFlow.mClosing) {
+    return sinceLastSeen > kClosedRetention;
+  }
+  if (!aFlow.mOwner) {
+    return sinceLastSeen > kHalfOpenRetention;
+  }
+  return sinceLastSeen > mRoutes->mIdleTimeout;
 }
 
 void
--- a/src/Flow/FlowEntryCoreLookup.cpp
+++ b/src/Flow/FlowEntryCoreLookup.cpp
@@ -4,6 +4,7 @@
 #include <snipepost/Flow/FlowEntryCore.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace snipepost::flow {
 
@@ -24,6 +25,10 @@
 /// Limit of the agents that one attempt asks.
 constexpr size_t kMaxLookupTargets = 128;
 
+/// Time for the replies to an attempt; the round trip to another failure domain
+/// takes about 8 ms.
+constexpr Duration kLookupReplyTime = std::chrono::milliseconds(40);
+
 /// Attempts after which the packets of a flow are dropped.
 constexpr uint32_t kMaxLookups = 24;
 
@@ -76,7 +81,10 @@
     if (record.mAgent.mIp == aFrom.Value()) {
       flow.mOwner = record.mAgent;
       flow.mResolved = true;
-      flow.mLookup = OwnerLookup();
+      for (const auto& packet : flow.mLookup.mWaiting) {
+        mOutput.SendToAgent(packet, *flow.mOwner, 0, TransitMark::Owner);
+      }
+      EndLookup(flow);
       // The reply to the offer was lost; no further offer is made.
       SetDeadline(aNotice.mFlow, flow, std::nullopt);
       mViews[record.mAgent].mUnansweredOffers = 0;
@@ -110,12 +118,25 @@
     return;
   }
   std::erase(lookup.mPending, aFrom);
+  std::erase(lookup.mAsked, aFrom);
   lookup.mExcluded.push_back(aFrom);
   if (lookup.mPending.empty() && lookup.mConclusive) {
     RejectOrphan(aExclusion.mFlow, found->second, aNow);
+  } else if (lookup.mAsked.empty() && !lookup.mPacketBytes.empty()) {
+    const auto bytes = std::exchange(lookup.mPacketBytes, {});
+    --mWaitingPackets;
+    StartLookupAttempt(aExclusion.mFlow, found->second, bytes, aNow);
   }
 }
 
+void
+FlowEntryCore::EndLookup(EntryFlow& aFlow)
+{
+  mWaitingPackets -= aFlow.mLookup.mWaiting.size() +
+                     (aFlow.mLookup.mPacketBytes.empty() ? 0 : 1);
+  aFlow.mLookup = OwnerLookup();
+}
+
 void
 FlowEntryCore::RejectOrphan(const FlowTuple& aTuple,
                             EntryFlow& aFlow,
@@ -124,6 +145,7 @@
   aFlow.mRejected = true;
   aFlow.mClosing = true;
   mOutput.SendReset(aFlow.mLookup.mPacket);
+  EndLookup(aFlow);
   ReportDecision(
     Verdict::Rejected, aTuple, aFlow, {}, Refusal::None, "owner-ended", aNow);
 }
@@ -241,9 +263,32 @@
   }
   OwnerLookup& lookup = aFlow.mLookup;
   if (lookup.mAttempts > 0 && BelongToDifferentFlows(lookup.mPacket, aPacket)) {
-    lookup = OwnerLookup();
+    EndLookup(aFlow);
   }
   lookup.mPacket = aPacket;
+  if (lookup.mAttempts > 0 && aNow < lookup.mNextAttempt) {
+    if (mWaitingPackets < kMaxWaitingPackets) {
+      lookup.mWaiting.emplace_back(aBytes.begin(), aBytes.end());
+      ++mWaitingPackets;
+    }
+    return;
+  }
+  StartLookupAttempt(aTuple, aFlow, aBytes, aNow);
+  const bool isPartial = lookup.mAsked.size() < lookup.mPending.size();
+  if (isPartial && lookup.mPacketBytes.empty() &&
+      mWaitingPackets < kMaxWaitingPackets) {
+    lookup.mPacketBytes.assign(aBytes.begin(), aBytes.end());
+    ++mWaitingPackets;
+  }
+}
+
+void
+FlowEntryCore::StartLookupAttempt(const FlowTuple& aTuple,
+                                  EntryFlow& aFlow,
+                                  std::span<const uint8_t> aBytes,
+                                  Instant aNow)
+{
+  OwnerLookup& lookup = aFlow.mLookup;
   const cluster::Route* route = FindRoute(aTuple);
   if (!route || ++lookup.mAttempts > kMaxLookups) {
     ReportDecision(Verdict::Dropped,
@@ -255,8 +300,11 @@
                    aNow);
     return;
   }
+  lookup.mNextAttempt = aNow + kLookupReplyTime;
+  lookup.mAsked.clear();
   for (const cluster::BackendRecord* server :
        LookupTargets(aTuple, *route, lookup, aNow)) {
+    lookup.mAsked.push_back(AgentIp(server));
     mOutput.SendToAgent(aBytes, server->mAgent, 0, TransitMark::OwnerLookup);
   }
   ReportDecision(Verdict::Locating, aTuple, aFlow, {}, Refusal::None, {}, aNow);
--- a/tests/Flow/FlowAgentCoreTest.cpp
+++ b/tests/Flow/FlowAgentCoreTest.cpp
@@ -550,4 +550,30 @@
   BOOST_TEST(mToBackend == 1U);
 }
 
+// After everything restarted during an evacuation, lookups arrive before the
+// first heartbeat. An agent that never excludes itself afterwards makes every
+// caller wait for its request timeout.
+BOOST_AUTO_TEST_CASE(LookupBeforeTheFirstHeartbeatDoesNotPreventExclusions)
+{
+  CallerSends(9, TransitMark::OwnerLookup);
+  SendHeartbeat(5, 1);
+  mReplica.ApplyChanges(
+    Part::Evacuations, { { "a", Revision(2), "{}" } }, Revision(2));
+  CallerSends(10, TransitMark::OwnerLookup);
+  BOOST_TEST(mExclusions.size() == 1U);
+  mNow += 3s;
+  CallerSends(11, TransitMark::OwnerLookup);
+  BOOST_TEST(mExclusions.size() == 2U);
+}
+
+// The first heartbeat that a restarted agent receives is not the first one of a
+// server that has already sent packets of a flow.
+BOOST_AUTO_TEST_CASE(FlowSeenBeforeTheFirstHeartbeatPreventsExclusions)
+{
+  BackendSends(8, false, 100);
+  SendHeartbeat(5, 1);
+  CallerSends(9, TransitMark::OwnerLookup);
+  BOOST_TEST(mExclusions.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Flow/FlowEntryCoreTest.cpp
+++ b/tests/Flow/FlowEntryCoreTest.cpp
@@ -279,6 +279,79 @@
   BOOST_TEST(mSent.size() == 6U);
 }
 
+// An upload has up to 16 packets in flight. When its flow moves to another
+// entry instance, a lookup with a copy of each of them for every possible owner
+// would fill the link of a small instance.
+BOOST_AUTO_TEST_CASE(PacketsWaitForTheLookupOfTheirFlow)
+{
+  for (uint32_t i = 0; i < 16; ++i) {
+    SendData(1 + i);
+  }
+  BOOST_TEST(mSent.size() == 6U);
+  const Address owner = mSent[2].mAgent;
+  mCore->OnOwnerNotice(
+    NodeIp(owner.mIp), { { kCaller, kService }, true }, mNow);
+  BOOST_REQUIRE(mSent.size() == 6U + 15U);
+  for (size_t i = 6; i < mSent.size(); ++i) {
+    BOOST_TEST((mSent[i].mAgent == owner));
+    BOOST_TEST((mSent[i].mMark == TransitMark::Owner));
+  }
+}
+
+struct LargeFixture : Fixture
+{
+  LargeFixture()
+    : Fixture(60)
+  {
+  }
+};
+
+// A flow with many possible owners is looked up in two attempts. The second one
+// must not wait for the caller's retransmission, 200 ms later.
+BOOST_FIXTURE_TEST_CASE(SecondAttemptFollowsWhenAllAskedAgentsAreExcluded,
+                        LargeFixture)
+{
+  SendData(1);
+  const size_t asked = mSent.size();
+  BOOST_REQUIRE(asked == 8U);
+  for (size_t i = 0; i < asked; ++i) {
+    BOOST_TEST(mSent.size() == asked);
+    Exclude(AgentAddress(mSent[i].mAgent.mIp - AgentAddress(0).mIp));
+  }
+  BOOST_TEST(mSent.size() > asked);
+  for (size_t i = asked; i < mSent.size(); ++i) {
+    BOOST_TEST(mResets == 0U);
+    Exclude(AgentAddress(mSent[i].mAgent.mIp - AgentAddress(0).mIp));
+  }
+  BOOST_TEST(mResets == 1U);
+  BOOST_TEST(mCore->WaitingPackets() == 0U);
+}
+
+// The reply to a lookup may be lost: a later packet starts another attempt.
+BOOST_AUTO_TEST_CASE(LookupIsRepeatedByALaterPacket)
+{
+  SendData(1);
+  mNow += 200ms;
+  SendData(1);
+  BOOST_TEST(mSent.size() == 12U);
+}
+
+// Packets that wait must not take more memory than a few of the smallest
+// instances can spare.
+BOOST_AUTO_TEST_CASE(WaitingPacketsAreBounded)
+{
+  for (uint32_t flow = 0; flow < 1000; ++flow) {
+    for (int i = 0; i < 3; ++i) {
+      mCore->OnCallerPacket(
+        CallerData({ kCaller.mIp + flow, 1000 }, 1, 10), mBytes, mNow);
+    }
+  }
+  BOOST_TEST(mCore->WaitingPackets() == FlowEntryCore::kMaxWaitingPackets);
+  mCore->Expire(mNow + 5s);
+  BOOST_TEST(mCore->WaitingPackets() == 0U);
+  BOOST_TEST(mCore->FlowCount() == 0U);
+}
+
 // After all servers restarted, the caller of an open flow would wait for its
 // request timeout.
 BOOST_AUTO_TEST_CASE(FlowWithoutAnyOwnerIsReset)
@@ -306,6 +379,7 @@
   }
   const Address silent = mSent[0].mAgent;
   mSent.clear();
+  mNow += 200ms; // The caller's retransmission.
   SendData(1);
   BOOST_TEST(mResets == 0U);
   BOOST_REQUIRE(mSent.size() == 1U);
