--- a/include/snipepost/Flow/Candidates.h
+++ b/include/snipepost/Flow/Candidates.h
@@ -22,8 +22,8 @@
   bool mCold = false;
   /// Smoothed time from an offer to its reply; zero before the first.
   Duration mReplyTime{};
-  /// Consecutive offers without a reply in time, and when the first of them was
-  /// sent.
+  /// Consecutive offers and owner lookups without a reply in time, and when the
+  /// first of them was sent.
   uint32_t mUnansweredOffers = 0;
   Instant mUnansweredSince;
   /// No offer is made before this time unless no other candidate is left.
--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -131,8 +131,9 @@
     Packet mPacket;
     std::vector<uint8_t> mPacketBytes;
     /// Agents that the latest attempt asked and that have not excluded
-    /// themselves.
-    std::vector<cluster::NodeIp> mAsked;
+    /// themselves, and when it was made.
+    std::vector<Address> mAsked;
+    Instant mAskedAt;
     /// Agents that have not excluded themselves; set by the latest attempt.
     std::vector<cluster::NodeIp> mPending;
     /// Agents that have excluded themselves.
@@ -215,6 +216,10 @@
                           EntryFlow& aFlow,
                           std::span<const uint8_t> aBytes,
                           Instant aNow);
+  /// Handles the reply of an agent that was asked for the owner.
+  void OnLookupReply(const EntryFlow& aFlow, cluster::NodeIp aFrom);
+  /// Counts an offer or a lookup without a reply.
+  static void CountUnanswered(AgentView& aView, Instant aSentAt);
   /// Ends the lookup of a flow and drops the packets that wait for it.
   void EndLookup(EntryFlow& aFlow);
   /// Resets a flow whose possible owners have all excluded themselves.
--- a/src/Flow/FlowEntryCoreLookup.cpp
+++ b/src/Flow/FlowEntryCoreLookup.cpp
@@ -106,6 +106,9 @@
                                 Instant aNow)
 {
   const auto found = mFlows.find(aExclusion.mFlow);
+  if (found != mFlows.end()) {
+    OnLookupReply(found->second, aFrom);
+  }
   if (found == mFlows.end() || found->second.mOwner ||
       found->second.mRejected) {
     return;
@@ -118,7 +121,9 @@
     return;
   }
   std::erase(lookup.mPending, aFrom);
-  std::erase(lookup.mAsked, aFrom);
+  std::erase_if(lookup.mAsked, [aFrom](const Address& aAgent) {
+    return aAgent.mIp == aFrom.Value();
+  });
   lookup.mExcluded.push_back(aFrom);
   if (lookup.mPending.empty() && lookup.mConclusive) {
     RejectOrphan(aExclusion.mFlow, found->second, aNow);
@@ -129,6 +134,16 @@
   }
 }
 
+void
+FlowEntryCore::OnLookupReply(const EntryFlow& aFlow, cluster::NodeIp aFrom)
+{
+  for (const Address& asked : aFlow.mLookup.mAsked) {
+    if (asked.mIp == aFrom.Value()) {
+      mViews[asked].mUnansweredOffers = 0;
+    }
+  }
+}
+
 void
 FlowEntryCore::EndLookup(EntryFlow& aFlow)
 {
@@ -300,14 +315,22 @@
                    aNow);
     return;
   }
+  for (const Address& silent : lookup.mAsked) {
+    CountUnanswered(mViews[silent], lookup.mAskedAt);
+  }
   lookup.mNextAttempt = aNow + kLookupReplyTime;
+  lookup.mAskedAt = aNow;
   lookup.mAsked.clear();
   for (const cluster::BackendRecord* server :
        LookupTargets(aTuple, *route, lookup, aNow)) {
-    lookup.mAsked.push_back(AgentIp(server));
+    lookup.mAsked.push_back(server->mAgent);
     mOutput.SendToAgent(aBytes, server->mAgent, 0, TransitMark::OwnerLookup);
   }
-  ReportDecision(Verdict::Locating, aTuple, aFlow, {}, Refusal::None, {}, aNow);
+  // Names one of the agents that an earlier attempt may have waited for.
+  const bool repeated = lookup.mAttempts > 1 && !lookup.mAsked.empty();
+  const Address silent = repeated ? lookup.mAsked.front() : Address();
+  ReportDecision(
+    Verdict::Locating, aTuple, aFlow, silent, Refusal::None, {}, aNow);
 }
 
 } // namespace snipepost::flow
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -399,10 +399,8 @@
     Offer& offer = flow.mOffers.back();
     offer.mState = OfferState::TimedOut;
     AgentView& view = mViews[offer.mAgent];
-    if (view.mUnansweredOffers == 0) {
-      view.mUnansweredSince = offer.mSentAt;
-    }
-    if (++view.mUnansweredOffers >= kUnansweredLimit) {
+    CountUnanswered(view, offer.mSentAt);
+    if (view.mUnansweredOffers >= kUnansweredLimit) {
       const uint32_t doublings =
         std::min(view.mUnansweredOffers - kUnansweredLimit, 4U);
       view.mAvoidUntil =
@@ -416,6 +414,15 @@
   }
 }
 
+void
+FlowEntryCore::CountUnanswered(AgentView& aView, Instant aSentAt)
+{
+  if (aView.mUnansweredOffers == 0) {
+    aView.mUnansweredSince = aSentAt;
+  }
+  ++aView.mUnansweredOffers;
+}
+
 std::vector<std::string>
 FlowEntryCore::DeadRecords(Instant aNow) const
 {
--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -11,9 +11,10 @@
 /// Consecutive failed writes after which a write is relayed through a peer: the
 /// store may reject this instance and serve others.
 constexpr uint32_t kFailuresBeforeRelay = 2;
-/// A backend server that has sent no heartbeat for this long, several
-/// intervals, has ended.
-constexpr Duration kHeartbeatTimeout = std::chrono::seconds(5);
+/// A backend server that has sent no heartbeat for this long, two intervals or
+/// more, has ended. Shorter than the stop delay, within which the agent removes
+/// the record of such a server.
+constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(2500);
 
 flow::AgentOptions
 MakeAgentOptions(const NodeSettings& aSettings)
--- a/tests/Flow/FlowEntryCoreTest.cpp
+++ b/tests/Flow/FlowEntryCoreTest.cpp
@@ -541,6 +541,35 @@
   BOOST_TEST(dead[0] == cluster::RecordName(crashed));
 }
 
+// A draining server gets no offers; when its agent is gone for good, only
+// lookups show it.
+BOOST_AUTO_TEST_CASE(RecordOfAnAgentThatIgnoresLookupsIsDead)
+{
+  const Address crashed = AgentAddress(0);
+  uint32_t caller = kCaller.mIp;
+  for (const Instant end = mNow + 30s; mNow < end; mNow += 1s) {
+    BOOST_TEST(mCore->DeadRecords(mNow).empty() == (mNow < end - 4s));
+    ++caller;
+    for (int i = 0; i < 2; ++i) {
+      const size_t before = mSent.size();
+      mCore->OnCallerPacket(
+        CallerData({ caller, 1000 }, 1, 10), mBytes, mNow + i * 200ms);
+      for (size_t sent = before; sent < mSent.size(); ++sent) {
+        const Address agent = mSent[sent].mAgent;
+        if (agent != crashed) {
+          mCore->OnOwnerExclusion(NodeIp(agent.mIp),
+                                  { { { caller, 1000 }, kService },
+                                    mReplica.Version(Part::Backends) },
+                                  mNow + i * 200ms);
+        }
+      }
+    }
+  }
+  const auto dead = mCore->DeadRecords(mNow);
+  BOOST_REQUIRE(dead.size() == 1U);
+  BOOST_TEST(dead[0] == cluster::RecordName(crashed));
+}
+
 // When a frozen instance continues, offers are overdue and flows have expired:
 // the deadline of an expired flow must not affect a new flow with the same
 // addresses.
--- a/tests/platform/NodeTest.cpp
+++ b/tests/platform/NodeTest.cpp
@@ -263,6 +263,7 @@
   mCallers.Send(PacketBytes(kCaller, kServiceAddress, kAck, 101, 5001),
                 { kEntryIp, kPacketPort });
   RunUntil([&] { return mBackend.mDatagrams.size() == 2; });
+  BOOST_TEST(SendHeartbeat("ready", 2) == 200U);
   mAgent.StartShutdown();
   RunFor(1s);
   BOOST_TEST(mStore.Count("backends") == 1U);
@@ -274,6 +275,25 @@
   RunUntil([&] { return mStore.Count("backends") == 0; });
 }
 
+// A server deregistered while the store was away, and then its machine lost
+// power: the record that was left makes owner lookups wait for an agent that is
+// gone. The agent must remove it within the stop delay of 3 s.
+BOOST_AUTO_TEST_CASE(StoppingAgentWithoutAServerRemovesALeftRecord)
+{
+  cluster::BackendRecord record;
+  record.mService = "desk";
+  record.mAgent = { kAgentIp, kPacketPort };
+  record.mDomain = "a";
+  record.mState = cluster::BackendState::Draining;
+  mStore.Put("backends",
+             cluster::RecordName(record.mAgent),
+             json::parse(cluster::EncodeRecord(record)));
+  RunUntil([&] { return mAgentNode.State().Backends().size() == 1; });
+  mAgent.StartShutdown();
+  RunFor(2900ms);
+  BOOST_TEST(mStore.Count("backends") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(StoppingAgentWithoutFlowsRemovesItsRecord)
 {
   AnnounceBackend();
