--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -212,7 +212,9 @@
   uint32_t mUnansweredSyns = 0;
   Instant mNextProbe;
   std::optional<Instant> mEvacuatedSince;
+  /// The agent's record is known not to be stored.
   bool mRecordMissing = false;
+  /// End of the time in which a new record reaches the entry instances.
   Instant mAcceptsFrom;
   /// When an entry instance of the previous version last offered a flow, which
   /// need not be one of its candidates.
--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -163,7 +163,6 @@
 
   using Flows = std::unordered_map<FlowTuple, EntryFlow>;
   using Servers = std::vector<const cluster::BackendRecord*>;
-  using NodeIps = std::vector<cluster::NodeIp>;
 
   void OnSyn(const Packet& aPacket,
              std::span<const uint8_t> aBytes,
