--- a/review/deployment.py
+++ b/review/deployment.py
@@ -19,6 +19,7 @@
 from consumer import Consumer, Router
 from corrib_wicker import IDLE_TIMEOUT_S
 from endpoint import Endpoint
+from links import Links
 from store import Store
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -96,6 +97,8 @@
         self.addresses = addresses
         self.service = service
         self.process = None
+        # The address that other nodes use, when the links have a bandwidth.
+        self.advertised_ip = None
 
     def write_settings(self):
         settings = self.deployment.folder / f"{self.name}.conf"
@@ -110,12 +113,18 @@
             "bind": bind,
             "app": at(a.app) if a.app else None,
             "service": self.service,
-            "seeds": [at(entry.addresses.control) for entry in self.deployment.entries[:3]],
+            "seeds": [
+                f"{entry.advertised_ip or entry.addresses.ip}:{a.control[1]}"
+                for entry in self.deployment.entries[:3]
+            ],
             "internal_ports": [a.internal_port, a.internal_port + 15],
             "platform": {"address": at(self.deployment.store_address)},
             "bounds": {"evacuation_ms": EVACUATION_MS},
         }
-        settings.write_text(render(self.deployment.templates[self.role], fields))
+        text = render(self.deployment.templates[self.role], fields)
+        if self.advertised_ip:
+            text += f"advertise = {self.advertised_ip}:{a.packets[1]}\n"
+        settings.write_text(text)
         return settings
 
     def start(self):
@@ -162,13 +171,14 @@
 
 class Deployment:
     """entries: the zone of each frontend machine; endpoints: the service and the
-    zone of each endpoint, which runs beside an agent."""
+    zone of each endpoint, which runs beside an agent; link_mbps: the bandwidth of
+    transfers between nodes, unlimited when it is None."""
 
     heartbeat_interval_s = 1.2
     grace_s = 6.0
     work_s = 0.025
 
-    def __init__(self, folder, entries, endpoints):
+    def __init__(self, folder, entries, endpoints, link_mbps=None):
         self.case_folder = Path(folder)
         self.record = Record(self.case_folder / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -182,6 +192,10 @@
         self._open_flows = {}
         self._read_deploy_file()
         self._choose_addresses(entries, endpoints)
+        self.links = Links([*self.entries, *self.agents], link_mbps) if link_mbps else None
+        for index, node in enumerate(self.links.nodes if self.links else []):
+            net = node.addresses.ip.split(".")[1]
+            node.advertised_ip = f"127.{net}.5.{index + 1}"
 
     def _read_deploy_file(self):
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
@@ -267,6 +281,8 @@
         await self.store.put("config", "main", manifest)
         for consumer in self.consumers.values():
             await consumer.start()
+        if self.links:
+            await self.links.start()
         for node in (*self.entries, *self.agents):
             node.start()
         await asyncio.gather(*(endpoint.start() for endpoint in self.endpoints))
@@ -298,6 +314,8 @@
                 node.process.kill()
                 node.process.wait()
         self.store.close()
+        if self.links:
+            self.links.close()
         if os.environ.get("KEEP_LOGS"):
             print("logs:", self.folder)
         else:
--- a/review/store.py
+++ b/review/store.py
@@ -7,6 +7,8 @@
 
 from wire import encode_response, read_message
 
+LONGEST_RECORDED = 2000
+
 
 class Store:
     def __init__(self, record):
@@ -32,7 +34,9 @@
     async def put(self, kind, name, spec):
         """What the operator writes. The return is the acknowledgement."""
         await self._store(kind, name, spec)
-        self._record.write("operator", f"wrote {kind}/{name}: {json.dumps(spec)}")
+        text = json.dumps(spec)
+        shown = text if len(text) <= LONGEST_RECORDED else f"{len(text)} bytes"
+        self._record.write("operator", f"wrote {kind}/{name}: {shown}")
 
     async def remove(self, kind, name):
         await self._delete(kind, name)
