Http1, FlowDaemon, platform: large responses on slow links are received

Cause: a transfer of shared state from a peer was limited to 300 ms in all. 0.6 MB take longer on such a link, so each transfer timed out while bytes were arriving and started again from the beginning. A node that doesn't watch the store has no other source. Lists and watches of the store had the same fault (350 to 900 ms for a page of up to 1 MB).

Change: a call has three limits, until its response starts, between two of its parts and in all. A silent peer is still given up after 300 ms; a transfer that makes progress is not.

The tests of Http1 and the platform adapter that cover the change pass.

--- a/include/snipepost/Cluster/Store.h
+++ b/include/snipepost/Cluster/Store.h
@@ -68,7 +68,8 @@
 public:
   virtual ~Store() = default;
 
-  /// Reads all objects of a part; aTimeout applies to each page.
+  /// Reads all objects of a part; the response with each page has to start
+  /// within aTimeout and then to keep arriving.
   virtual void List(Part aPart,
                     Freshness aFreshness,
                     Duration aTimeout,
--- a/include/snipepost/Http1/Client.h
+++ b/include/snipepost/Http1/Client.h
@@ -28,6 +28,19 @@
 std::string_view
 ToString(Result aResult);
 
+/// Limits of the time that a call may take. A large response on a slow link
+/// takes long, but its parts keep arriving.
+struct CallTimeouts
+{
+  /// From the start, which includes connecting, to the first part of the
+  /// response.
+  Duration mResponse;
+  /// Between two parts of the response.
+  Duration mProgress;
+  /// From the start to the end of the response.
+  Duration mTotal;
+};
+
 /// Called once per call; the response is set when the result is Ok.
 using ResponseHandler = std::function<void(Result, const Response&)>;
 
@@ -44,7 +57,11 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  /// Sends aRequest; aTimeout covers connecting and receiving the response.
+  /// Sends aRequest.
+  void Call(Request aRequest,
+            const CallTimeouts& aTimeouts,
+            ResponseHandler aDone);
+  /// The same with one timeout for the whole call.
   void Call(Request aRequest, Duration aTimeout, ResponseHandler aDone);
 
   /// Closes the connection and drops all calls without calling handlers.
--- a/src/FlowDaemon/NodePeers.cpp
+++ b/src/FlowDaemon/NodePeers.cpp
@@ -13,6 +13,12 @@
 /// Timeout of a call to a peer. A peer in another failure domain normally
 /// responds within 10 ms.
 constexpr Duration kPeerCallTimeout = std::chrono::milliseconds(300);
+/// Limit of the transfer of a part whose bytes keep arriving. A part has about
+/// 1 MB at most, which takes 1 s on a link of 10 Mbit/s that nobody else uses.
+constexpr Duration kMaxTransferTime = std::chrono::seconds(10);
+constexpr http1::CallTimeouts kTransferTimeouts{ kPeerCallTimeout,
+                                                 kPeerCallTimeout,
+                                                 kMaxTransferTime };
 constexpr std::string_view kStatePath = "/state/";
 /// A peer of the previous build does not know the query and serves a snapshot.
 constexpr std::string_view kEpochQuery = "epoch=";
@@ -69,7 +75,7 @@
     request.mPath += std::to_string(version.mRevision.Value());
   }
   fetch.mClient->Call(std::move(request),
-                      kPeerCallTimeout,
+                      kTransferTimeouts,
                       [this, aPeer, aPart](http1::Result aResult,
                                            const http1::Response& aResponse) {
                         OnFetched(aPeer, aPart, aResult, aResponse);
--- a/src/Http1/Client.cpp
+++ b/src/Http1/Client.cpp
@@ -78,9 +78,11 @@
   {
   }
 
-  void Call(Request aRequest, Duration aTimeout, ResponseHandler aDone)
+  void Call(Request aRequest,
+            const CallTimeouts& aTimeouts,
+            ResponseHandler aDone)
   {
-    mQueue.push_back({ std::move(aRequest), aTimeout, std::move(aDone) });
+    mQueue.push_back({ std::move(aRequest), aTimeouts, std::move(aDone) });
     if (!mActive) {
       Start();
     }
@@ -97,7 +99,7 @@
   struct PendingCall
   {
     Request mRequest;
-    Duration mTimeout;
+    CallTimeouts mTimeouts;
     ResponseHandler mDone;
   };
 
@@ -118,7 +120,10 @@
   {
     mActive = true;
     ++mExchange;
-    mDeadline = std::chrono::steady_clock::now() + mQueue.front().mTimeout;
+    const auto now = std::chrono::steady_clock::now();
+    const CallTimeouts& timeouts = mQueue.front().mTimeouts;
+    mDeadline = now + timeouts.mTotal;
+    mResponseDeadline = std::min(now + timeouts.mResponse, mDeadline);
     if (mConnected) {
       Send();
     } else {
@@ -141,7 +146,7 @@
   void Connect()
   {
     const auto limit = std::chrono::steady_clock::now() + kConnectTimeout;
-    FinishAt(std::min(limit, mDeadline), Result::NotConnected);
+    FinishAt(std::min(limit, mResponseDeadline), Result::NotConnected);
     mSocket.async_connect(
       ToTcp(mServer),
       BindToExchange([](Impl& aSelf, const asio::error_code& aError) {
@@ -157,7 +162,7 @@
 
   void Send()
   {
-    FinishAt(mDeadline, Result::TimedOut);
+    FinishAt(mResponseDeadline, Result::TimedOut);
     const Request& request = mQueue.front().mRequest;
     mOut = request.mMethod + ' ' + request.mPath +
            " HTTP/1.1\r\nHost: " + ToString(mServer) + "\r\n";
@@ -205,6 +210,9 @@
       return;
     }
     if (!mParser.Complete()) {
+      const auto next =
+        std::chrono::steady_clock::now() + mQueue.front().mTimeouts.mProgress;
+      FinishAt(std::min(next, mDeadline), Result::TimedOut);
       Read();
       return;
     }
@@ -247,6 +255,8 @@
   asio::ip::tcp::socket mSocket;
   asio::steady_timer mTimer;
   std::chrono::steady_clock::time_point mDeadline;
+  /// Until the first part of the response.
+  std::chrono::steady_clock::time_point mResponseDeadline;
   Parser mParser;
   std::deque<PendingCall> mQueue;
   std::array<char, kReadSize> mIn{};
@@ -266,10 +276,20 @@
   mImpl->Reset();
 }
 
+void
+Client::Call(Request aRequest,
+             const CallTimeouts& aTimeouts,
+             ResponseHandler aDone)
+{
+  mImpl->Call(std::move(aRequest), aTimeouts, std::move(aDone));
+}
+
 void
 Client::Call(Request aRequest, Duration aTimeout, ResponseHandler aDone)
 {
-  mImpl->Call(std::move(aRequest), aTimeout, std::move(aDone));
+  Call(std::move(aRequest),
+       CallTimeouts{ aTimeout, aTimeout, aTimeout },
+       std::move(aDone));
 }
 
 void
--- a/tests/Http1/ClientServerTest.cpp
+++ b/tests/Http1/ClientServerTest.cpp
@@ -6,6 +6,8 @@
 #include <snipepost/Http1/Server.h>
 #include <snipepost/Net/DatagramSocket.h>
 
+#include "tests/Http1/SlowServer.h"
+
 using namespace snipepost;
 using namespace std::chrono_literals;
 using http1::Result;
@@ -20,10 +22,21 @@
               http1::Request aRequest,
               Duration aTimeout,
               http1::Response* aResponse = nullptr)
+  {
+    return Call(aClient,
+                std::move(aRequest),
+                { aTimeout, aTimeout, aTimeout },
+                aResponse);
+  }
+
+  Result Call(http1::Client& aClient,
+              http1::Request aRequest,
+              const http1::CallTimeouts& aTimeouts,
+              http1::Response* aResponse = nullptr)
   {
     std::optional<Result> outcome;
     aClient.Call(std::move(aRequest),
-                 aTimeout,
+                 aTimeouts,
                  [&](Result aResult, const http1::Response& aReceived) {
                    outcome = aResult;
                    if (aResponse) {
@@ -114,6 +127,40 @@
   BOOST_TEST(server.Connections() == 2U);
 }
 
+// Guards against large responses that never arrive on a slow link, because the
+// call times out while their bytes keep arriving.
+BOOST_AUTO_TEST_CASE(ResponseThatKeepsArrivingIsReceived)
+{
+  const std::string body(4000, 'x');
+  SlowServer server(mContext, kLoopback, body, 400, 40ms);
+  http1::Client client(mContext, server.Local());
+  http1::Response response;
+  const http1::CallTimeouts timeouts{ 200ms, 200ms, 10s };
+  BOOST_TEST((Call(client, {}, timeouts, &response) == Result::Ok));
+  BOOST_TEST(response.mBody == body);
+}
+
+// A connection that falls silent in the middle of a response must not occupy
+// the client until the limit of long transfers.
+BOOST_AUTO_TEST_CASE(ResponseThatStopsArrivingTimesOut)
+{
+  SlowServer server(mContext, kLoopback, std::string(4000, 'x'), 400, 10ms, 3);
+  http1::Client client(mContext, server.Local());
+  const auto start = std::chrono::steady_clock::now();
+  const http1::CallTimeouts timeouts{ 100ms, 100ms, 4s };
+  BOOST_TEST((Call(client, {}, timeouts) == Result::TimedOut));
+  BOOST_TEST((std::chrono::steady_clock::now() - start < 2s));
+}
+
+// A server that sends a byte now and then must not occupy the client for ever.
+BOOST_AUTO_TEST_CASE(ResponseThatTakesTooLongInAllTimesOut)
+{
+  SlowServer server(mContext, kLoopback, std::string(4000, 'x'), 1, 10ms);
+  http1::Client client(mContext, server.Local());
+  const http1::CallTimeouts timeouts{ 100ms, 100ms, 300ms };
+  BOOST_TEST((Call(client, {}, timeouts) == Result::TimedOut));
+}
+
 BOOST_AUTO_TEST_CASE(MalformedAndTruncatedResponsesAreBroken)
 {
   for (const char* text :
--- a/tests/platform/NodeTest.cpp
+++ b/tests/platform/NodeTest.cpp
@@ -8,6 +8,7 @@
 
 #include "src/FlowDaemon/AgentNode.h"
 #include "src/FlowDaemon/EntryNode.h"
+#include "tests/Http1/SlowServer.h"
 #include "tests/platform/soak/FlowSegment.h"
 #include "tests/platform/soak/SoakStore.h"
 
@@ -23,6 +24,7 @@
 constexpr uint32_t kStoreIp = 0x7f4d0103;
 constexpr uint32_t kBackendIp = 0x7f4d0104;
 constexpr uint32_t kCallerIp = 0x7f4d0105;
+constexpr uint32_t kPeerIp = 0x7f4d0106;
 constexpr uint16_t kPacketPort = 38172;
 constexpr uint16_t kReadinessPort = 38167;
 constexpr uint16_t kControlPort = 38166;
@@ -468,6 +470,37 @@
   RunUntil([&] { return mBackend.mDatagrams.size() == 1; });
 }
 
+// Guards against a configuration that never reaches nodes on slow links: one of
+// 3,000 routes takes about a second on a link of 10 Mbit/s, and a node that
+// does not watch the store has no other source than its peers.
+BOOST_AUTO_TEST_CASE(LargeConfigurationIsFetchedOnASlowLink)
+{
+  AnnounceBackend();
+  cluster::Replica peer(
+    [](std::string_view) { return std::optional<cluster::RouteConfig>(); });
+  std::string config = R"({"version":9,"routes":[],"filler":")";
+  config += std::string(100'000, 'x') + "\"}";
+  const cluster::Revision revision(1'000'000);
+  peer.ApplySnapshot(cluster::Part::Routes,
+                     { revision,
+                       { { "main", revision, config } },
+                       mAgentNode.State().LatestEpoch() });
+  const Address address{ kPeerIp, kInternalPort };
+  SlowServer server(mContext,
+                    address,
+                    peer.EncodeSnapshot(cluster::Part::Routes),
+                    10'000,
+                    100ms);
+  DatagramRecorder socket(mContext, address);
+  cluster::GossipCore gossip(
+    cluster::NodeIp(kPeerIp), cluster::NodeRole::Entry, {}, Instant(), 1);
+  socket.Send(flow::EncodeMessage(gossip.MakeDigest(peer, Instant(), false)),
+              { kAgentIp, kInternalPort });
+  RunUntil([&] {
+    return mAgentNode.State().Routes()->mVersion == cluster::ConfigVersion(9);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(MetricsAndStatusAreServed)
 {
   AnnounceBackend();
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -5,6 +5,7 @@
 #include <snipepost/Http1/Server.h>
 
 #include "platform/StoreClient.h"
+#include "tests/Http1/SlowServer.h"
 
 using namespace snipepost;
 using cluster::Part;
@@ -127,6 +128,33 @@
   BOOST_TEST((List(Part::Routes).mOutcome == ReadOutcome::Lost));
 }
 
+// Guards against a watcher on a slow link that never gets a large
+// configuration: its first bytes arrive in time, all of them later than the
+// timeout.
+BOOST_AUTO_TEST_CASE(LargeListOnASlowLinkIsReceived)
+{
+  const std::string filler(20000, 'x');
+  SlowServer slow(mContext,
+                  Address{ 0x7f000001, 0 },
+                  R"({"items":[{"meta":{"name":"main","rev":4},"spec":{"f":")" +
+                    filler + R"("}}],"current_rev":4})",
+                  1000,
+                  std::chrono::milliseconds(60));
+  platform::StoreClient client(mContext, slow.Local());
+  cluster::ListResult result;
+  bool done = false;
+  client.List(Part::Routes,
+              cluster::Freshness::Latest,
+              std::chrono::milliseconds(900),
+              [&](cluster::ListResult aResult) {
+                result = std::move(aResult);
+                done = true;
+              });
+  RunUntil(done);
+  BOOST_TEST((result.mOutcome == ReadOutcome::Done));
+  BOOST_TEST(result.mSnapshot.mObjects.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(WatchReportsThatHistoryIsGone)
 {
   mResponses = { { 410, "{}" }, { 200, R"({"events":[],"current_rev":9})" } };
