Flow: a repeated SYN-ACK does not make its server the owner of a flow

Cause: two servers had answered the SYN, since the woken instance offered it again. The agent of the one that the caller didn't choose dropped the half-open flow after 1.5 s, and took the SYN-ACK that its server repeated 1.6 s later for a packet of an established flow. From then on it neither checked the caller's acknowledgements nor denied the flow in lookups, and returned packets corrected nothing.

The five new tests of FlowAgentCoreTest fail without the change.

Change: a SYN-ACK makes a flow half-open only, which stays known until the next one is due. The flow is established when the caller acknowledges that SYN-ACK, or when the server sends any other packet but a reset. A returned packet of an established flow ends the agent's claim, so a wrong owner is corrected within a round trip whatever made it one.

Tests of Flow, and NodeTest: no failure.

--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -114,12 +114,15 @@
     /// The backend server has sent a SYN-ACK.
     bool mSynAcked = false;
     /// The backend server owns the flow: the caller continued it after the
-    /// SYN-ACK, or it was opened before this agent started.
+    /// SYN-ACK, or the backend server did.
     bool mEstablished = false;
     /// The backend server may own the flow, but has not sent a packet of it.
     bool mTentative = false;
     /// The latest packet from mEntry was an owner lookup.
     bool mLookedUp = false;
+    /// The backend server has returned a packet of the flow and sent none
+    /// since, so it does not hold the flow.
+    bool mReturned = false;
     /// The incarnation of the backend server that owned the flow has ended.
     bool mOrphaned = false;
     /// Counted in mLoad: the flow has a request without a response, or was
@@ -160,6 +163,10 @@
                      cluster::NodeIp aFrom,
                      Instant aNow);
   void OnReturnedPacket(const Packet& aPacket, Instant aNow);
+  void OnSynAck(const FlowTuple& aTuple,
+                AgentFlow& aFlow,
+                const Packet& aPacket,
+                Instant aNow);
   void OnFlowPacket(const FlowTuple& aTuple,
                     AgentFlow& aFlow,
                     const Packet& aPacket,
--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -88,6 +88,10 @@
       Verdict::Ended, tuple, aFrom, Refusal::None, aNow - flow.mOpenedAt);
     return;
   }
+  if (flow.mReturned) {
+    NotifyNotOwned(tuple, aFrom, lookedUp, aNow);
+    return;
+  }
   flow.mLastSeen = aNow;
   flow.mEntry = aFrom;
   flow.mLookedUp = lookedUp;
--- a/src/Flow/FlowAgentCoreBackend.cpp
+++ b/src/Flow/FlowAgentCoreBackend.cpp
@@ -3,13 +3,19 @@
 #include <snipepost/Flow/FlowAgentCore.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace snipepost::flow {
 
 namespace {
 
-/// Callers abandon a connection attempt after 1.4 s.
-constexpr Duration kHalfOpenTimeout = std::chrono::milliseconds(1500);
+/// A half-open flow that occupies a slot for longer is considered abandoned:
+/// callers give up a connection attempt after 1.4 s.
+constexpr Duration kHalfOpenSlotTime = std::chrono::milliseconds(1500);
+/// Time to keep a half-open flow. Longer than the longest interval between two
+/// SYN-ACKs of a backend server, 1.6 s, so that the flow stays known while it
+/// is repeated.
+constexpr Duration kHalfOpenRetention = std::chrono::milliseconds(1800);
 
 /// Time to keep a closed flow: the longest retransmission interval of
 /// either end.
@@ -37,18 +43,56 @@
   const FlowTuple tuple = BackendFlow(aPacket);
   auto found = mFlows.find(tuple);
   if (found == mFlows.end() && mFlows.size() < kMaxFlows) {
-    // The flow was opened before this agent started.
+    // The flow was opened before this agent started, or has expired here.
     found = mFlows.try_emplace(tuple).first;
     found->second.mOpenedAt = aNow;
-    found->second.mEstablished = true;
+    found->second.mTentative = true;
     found->second.mSynAcked = true;
   }
-  if (found != mFlows.end()) {
+  if (found == mFlows.end()) {
+    // The table is full.
+  } else if (aPacket.IsSynAck()) {
+    OnSynAck(tuple, found->second, aPacket, aNow);
+  } else {
     OnFlowPacket(tuple, found->second, aPacket, aNow);
   }
   mOutput.SendToCaller(aBytes, aPacket.mDestination);
 }
 
+// A SYN-ACK, also a repeated one, says nothing about the owner of the flow: the
+// caller may have chosen another backend server.
+void
+FlowAgentCore::OnSynAck(const FlowTuple& aTuple,
+                        AgentFlow& aFlow,
+                        const Packet& aPacket,
+                        Instant aNow)
+{
+  const bool repeated = aFlow.mSynAcked;
+  aFlow.mLastSeen = aNow;
+  aFlow.mSynAcked = true;
+  if (std::exchange(aFlow.mTentative, false)) {
+    aFlow.mCallerSequence = aPacket.mAcknowledgement - 1;
+  }
+  aFlow.mBackendSequence = aPacket.mSequence;
+  RemoveAnsweredSyns();
+  if (aFlow.mEntry == cluster::NodeIp()) {
+    return; // The entry instance that offered the flow is not known any more.
+  }
+  SendOfferReply(aFlow.mEntry,
+                 aTuple,
+                 aFlow.mCallerSequence,
+                 aPacket.mSequence,
+                 Refusal::None,
+                 aNow);
+  if (!repeated) {
+    ReportDecision(Verdict::Opened,
+                   aTuple,
+                   aFlow.mEntry,
+                   Refusal::None,
+                   aNow - aFlow.mOpenedAt);
+  }
+}
+
 void
 FlowAgentCore::OnFlowPacket(const FlowTuple& aTuple,
                             AgentFlow& aFlow,
@@ -56,31 +100,15 @@
                             Instant aNow)
 {
   aFlow.mLastSeen = aNow;
-  if (aPacket.IsSynAck()) {
-    const bool repeated = aFlow.mSynAcked;
-    aFlow.mSynAcked = true;
-    aFlow.mBackendSequence = aPacket.mSequence;
-    SendOfferReply(aFlow.mEntry,
-                   aTuple,
-                   aFlow.mCallerSequence,
-                   aPacket.mSequence,
-                   Refusal::None,
-                   aNow);
-    RemoveAnsweredSyns();
-    if (!repeated) {
-      ReportDecision(Verdict::Opened,
-                     aTuple,
-                     aFlow.mEntry,
-                     Refusal::None,
-                     aNow - aFlow.mOpenedAt);
-    }
-    return;
-  }
-  if (aFlow.mTentative && !aPacket.mReset) {
-    aFlow.mTentative = false;
+  aFlow.mReturned = false;
+  if (!aFlow.mEstablished && !aPacket.mReset) {
+    // The backend server continues only flows that the caller opened there.
     aFlow.mEstablished = true;
     aFlow.mSynAcked = true;
-    NotifyOwned(aTuple, aFlow);
+    if (std::exchange(aFlow.mTentative, false) &&
+        aFlow.mEntry != cluster::NodeIp()) {
+      NotifyOwned(aTuple, aFlow);
+    }
   }
   const bool responds = aPacket.mLength > 0 || aPacket.mFin || aPacket.mReset;
   if (responds && aFlow.mBusy) {
@@ -158,10 +186,15 @@
     NotifyNotOwned(tuple, flow.mEntry, flow.mLookedUp, aNow);
     return;
   }
-  // The backend server has ended or restarted, or has dropped an idle flow. A
-  // reset is sent only after the end or a heartbeat of the restart is known.
+  // The backend server has ended or restarted, or has dropped an idle flow.
+  // This agent sends a reset only after the end or a heartbeat of the restart
+  // is known.
   mReturnsPackets = true;
   SetBusy(found->second, false, aNow);
+  if (!flow.mOrphaned && !flow.mBackendFin) {
+    found->second.mReturned = true;
+    mOutput.SendToNode(flow.mEntry, OwnerNotice{ tuple, false });
+  }
   ReportDecision(Verdict::NotOwned,
                  tuple,
                  flow.mEntry,
@@ -264,8 +297,9 @@
   for (auto at = mFlows.begin(); at != mFlows.end();) {
     AgentFlow& flow = at->second;
     const Duration sinceLastSeen = aNow - flow.mLastSeen;
-    if (flow.mBusy && aNow - flow.mBusySince >
-                        (flow.mEstablished ? kMaxSlotTime : kHalfOpenTimeout)) {
+    if (flow.mBusy &&
+        aNow - flow.mBusySince >
+          (flow.mEstablished ? kMaxSlotTime : kHalfOpenSlotTime)) {
       SetBusy(flow, false, aNow);
     }
     Duration retention = idle;
@@ -274,7 +308,7 @@
     } else if (flow.mCallerFin && flow.mBackendFin) {
       retention = kClosedRetention;
     } else if (!flow.mEstablished) {
-      retention = kHalfOpenTimeout;
+      retention = kHalfOpenRetention;
     }
     const auto next = std::next(at);
     if (sinceLastSeen > retention) {
--- a/tests/Flow/FlowAgentCoreTest.cpp
+++ b/tests/Flow/FlowAgentCoreTest.cpp
@@ -713,4 +713,78 @@
   BOOST_TEST(mExclusions.empty());
 }
 
+// Guards against requests that are never answered: two servers answered one
+// SYN, the caller chose the other one, and this server repeats its SYN-ACK.
+BOOST_AUTO_TEST_CASE(RepeatedSynAckDoesNotMakeTheServerAnOwner)
+{
+  SendHeartbeat();
+  SendOffer(1);
+  BackendSends(1, true);
+  mNow += 10s;
+  mCore->Expire(mNow);
+  BOOST_TEST(mCore->FlowCount() == 0U);
+  BackendSends(1, true);
+  const size_t before = mToBackend;
+  CallerSends(1, TransitMark::Owner, kOtherEntry, 0x70000000);
+  BOOST_REQUIRE(mNotices.size() == 1U);
+  BOOST_TEST(!mNotices[0].second.mOwned);
+  CallerSends(1, TransitMark::OwnerLookup, kOtherEntry, 0x70000000);
+  BOOST_TEST(mExclusions.size() == 1U);
+  BOOST_TEST(mToBackend == before);
+}
+
+// The same for an agent that restarted and was asked for the owner before the
+// SYN-ACK was repeated.
+BOOST_AUTO_TEST_CASE(RepeatedSynAckAfterALookupDoesNotMakeTheServerAnOwner)
+{
+  SendHeartbeat(5, 9);
+  CallerSends(1, TransitMark::OwnerLookup, kEntry, 0x70000000);
+  BackendSends(1, true);
+  const size_t before = mToBackend;
+  CallerSends(1, TransitMark::OwnerLookup, kEntry, 0x70000000);
+  BOOST_TEST(mExclusions.size() == 1U);
+  BOOST_TEST(mToBackend == before);
+}
+
+// A caller that chose this server must reach it, although the agent restarted
+// during the handshake.
+BOOST_AUTO_TEST_CASE(RestartedAgentKeepsAFlowOfARepeatedSynAck)
+{
+  SendHeartbeat(5, 9);
+  BackendSends(1, true);
+  BOOST_TEST(mReplies.empty());
+  CallerSends(1, TransitMark::OwnerLookup);
+  BOOST_REQUIRE(mNotices.size() == 1U);
+  BOOST_TEST(mNotices[0].second.mOwned);
+  BOOST_TEST(mToBackend == 1U);
+}
+
+// The interval between two SYN-ACKs is up to 1.6 s; the flow must stay known
+// for that long, so that the caller's choice can be checked.
+BOOST_AUTO_TEST_CASE(HalfOpenFlowOutlivesTheIntervalBetweenSynAcks)
+{
+  SendHeartbeat();
+  SendOffer(1);
+  BackendSends(1, true);
+  mNow += 1600ms;
+  mCore->Expire(mNow);
+  BOOST_TEST(mCore->FlowCount() == 1U);
+}
+
+// A wrong owner must not stay one: the entry instance is told to look up the
+// owner, and the agent no longer takes the flow for its own.
+BOOST_AUTO_TEST_CASE(ReturnedPacketEndsTheOwnershipOfItsFlow)
+{
+  SendHeartbeat();
+  SendOffer(1);
+  BackendSends(1, true);
+  CallerSends(1);
+  BackendReturns(1, false);
+  BOOST_REQUIRE(mNotices.size() == 1U);
+  BOOST_TEST(!mNotices[0].second.mOwned);
+  CallerSends(1, TransitMark::OwnerLookup);
+  BOOST_TEST(mNotices.size() == 1U);
+  BOOST_TEST(mExclusions.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
