Flow: packets withheld during an evacuation count as activity of their flow

Cause: the agent returned after the grace period of an evacuation before it noted the packet as activity. It expired the flow as idle, denied it in the lookup after the evacuation, and the entry instance reset it.

FlowOfAnEvacuatedDomainIsNotIdleWhileItsCallerSends and OwnerInAnEvacuatedDomainRepliesToALookup fail without the change.

Change: the flow is found and its activity noted before the packet is withheld, and the owner replies to lookups meanwhile. The grace period starts when the agent learns of the evacuation instead of with the next packet, as its comment says.

--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -67,11 +67,11 @@
     NotifyNotOwned(tuple, aFrom, lookedUp, aNow);
     return;
   }
-  if (!WithinEvacuationGrace(aNow)) {
-    return;
-  }
+  const bool withheld = !WithinEvacuationGrace(aNow);
   if (found == mFlows.end()) {
-    OnUnknownFlow(aPacket, aBytes, aFrom, aNow);
+    if (!withheld) {
+      OnUnknownFlow(aPacket, aBytes, aFrom, aNow);
+    }
     return;
   }
   AgentFlow& flow = found->second;
@@ -95,6 +95,13 @@
   flow.mLastSeen = aNow;
   flow.mEntry = aFrom;
   flow.mLookedUp = lookedUp;
+  if (withheld) {
+    // The caller retransmits the packet; meanwhile its flow is not idle.
+    if (lookedUp && flow.mEstablished) {
+      NotifyOwned(tuple, flow);
+    }
+    return;
+  }
   if (!flow.mEstablished && !flow.mTentative) {
     // The request follows, so the flow counts as load, also if
     // ReleaseHalfOpenLoad() had stopped counting it.
--- a/src/Flow/FlowAgentCoreBackend.cpp
+++ b/src/Flow/FlowAgentCoreBackend.cpp
@@ -293,6 +293,8 @@
 FlowAgentCore::Expire(Instant aNow)
 {
   ReleaseHalfOpenLoad(aNow);
+  // The grace period of an evacuation starts also while no packet arrives.
+  WithinEvacuationGrace(aNow);
   const Duration idle = mReplica.Routes()->mIdleTimeout;
   for (auto at = mFlows.begin(); at != mFlows.end();) {
     AgentFlow& flow = at->second;
--- a/tests/Flow/FlowAgentCoreTest.cpp
+++ b/tests/Flow/FlowAgentCoreTest.cpp
@@ -240,6 +240,51 @@
   BOOST_TEST(mToCaller == 2U);
 }
 
+// Guards against the reset of an open flow after an evacuation: the packets
+// that the agent withheld must count as activity.
+BOOST_AUTO_TEST_CASE(FlowOfAnEvacuatedDomainIsNotIdleWhileItsCallerSends)
+{
+  SendHeartbeat();
+  SendOffer(1);
+  BackendSends(1, true);
+  CallerSends(1);
+  mReplica.ApplyChanges(
+    Part::Evacuations, { { "a", Revision(2), "{}" } }, Revision(2));
+  const size_t sent = mToBackend;
+  for (int second = 0; second < 20; ++second) {
+    mNow += 1s;
+    CallerSends(1);
+    mCore->Expire(mNow);
+  }
+  BOOST_TEST(mToBackend < sent + 5); // Only those of the grace period.
+  BOOST_TEST(mNotices.empty());
+  mReplica.ApplyChanges(
+    Part::Evacuations, { { "a", Revision(3), std::nullopt } }, Revision(3));
+  const size_t withheld = mToBackend;
+  CallerSends(1);
+  BOOST_TEST(mToBackend == withheld + 1);
+  BOOST_TEST(mNotices.empty());
+}
+
+// Another entry instance must learn the owner during an evacuation, so that it
+// does not go on asking every agent.
+BOOST_AUTO_TEST_CASE(OwnerInAnEvacuatedDomainRepliesToALookup)
+{
+  SendHeartbeat();
+  SendOffer(1);
+  BackendSends(1, true);
+  CallerSends(1);
+  mReplica.ApplyChanges(
+    Part::Evacuations, { { "a", Revision(2), "{}" } }, Revision(2));
+  mCore->Expire(mNow); // The agent notices the evacuation.
+  mNow += 3s;
+  const size_t sent = mToBackend;
+  CallerSends(1, TransitMark::OwnerLookup, kOtherEntry);
+  BOOST_TEST(mToBackend == sent);
+  BOOST_REQUIRE(mNotices.size() == 1U);
+  BOOST_TEST(mNotices[0].second.mOwned);
+}
+
 // Addresses are reused: a SYN for the earlier service must not be accepted.
 BOOST_AUTO_TEST_CASE(SynForAnotherServiceIsRefused)
 {
