Flow: an owner lookup asks every service before a flow is reset

Cause: the possible owners of a flow were taken from the services of the present configuration only. Their agents all excluded themselves, which counted as a proof that the owner had ended.

The three new tests of FlowEntryCoreTest fail without the change.

Change: from the second attempt on, and before any reset, the possible owners in all other services are asked as well. An instance can't rely on the configurations that it has seen: it may have started since, and quick changes reach instances without the ones in between. Flows of the present services are found in the first attempt as before.

Tests of Flow: no failure.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -210,6 +210,19 @@
                         const cluster::Route& aRoute,
                         OwnerLookup& aLookup,
                         Instant aNow) const;
+  /// The servers that may own the flow: those of the services that the route
+  /// sends new flows to first, then those of all others if aOfEveryService.
+  Servers PossibleOwners(const FlowTuple& aTuple,
+                         const cluster::Route& aRoute,
+                         bool aOfEveryService,
+                         Instant aNow) const;
+  /// The servers of the route that most likely own the flow.
+  Servers BestRankedOwners(const FlowTuple& aTuple,
+                           const cluster::Route& aRoute) const;
+  /// Appends the servers of the route's services that are not in aServers.
+  void AppendOtherServers(const FlowTuple& aTuple,
+                          const cluster::Route& aRoute,
+                          Servers& aServers) const;
   /// Asks the next agents of a lookup with aBytes.
   void StartLookupAttempt(const FlowTuple& aTuple,
                           EntryFlow& aFlow,
--- a/src/Flow/FlowEntryCoreLookup.cpp
+++ b/src/Flow/FlowEntryCoreLookup.cpp
@@ -49,6 +49,16 @@
   return cluster::NodeIp(aRecord->mAgent.mIp);
 }
 
+/// True when the route sends new flows to the service.
+bool
+Serves(const cluster::Route& aRoute, const std::string& aService)
+{
+  return std::ranges::any_of(
+    aRoute.mServices, [&aService](const cluster::WeightedService& aShare) {
+      return aShare.mService == aService;
+    });
+}
+
 /// True when the packets belong to different flows with the same addresses.
 bool
 BelongToDifferentFlows(const Packet& aEarlier, const Packet& aLater)
@@ -218,34 +228,63 @@
 }
 
 FlowEntryCore::Servers
-FlowEntryCore::LookupTargets(const FlowTuple& aTuple,
-                             const cluster::Route& aRoute,
-                             OwnerLookup& aLookup,
-                             Instant aNow) const
+FlowEntryCore::PossibleOwners(const FlowTuple& aTuple,
+                              const cluster::Route& aRoute,
+                              bool aOfEveryService,
+                              Instant aNow) const
 {
   const uint64_t hash = FlowHash(aTuple);
   Servers owners;
-  Servers narrow;
-  Servers all;
+  for (const auto& [service, table] : mTables) {
+    if (Serves(aRoute, service)) {
+      table.AppendPossibleOwners(hash, aNow, mOptions.mFlowLimit, owners);
+    }
+  }
+  if (!aOfEveryService) {
+    return owners;
+  }
+  for (const auto& [service, table] : mTables) {
+    if (!Serves(aRoute, service)) {
+      table.AppendPossibleOwners(hash, aNow, mOptions.mFlowLimit, owners);
+    }
+  }
+  return owners;
+}
+
+FlowEntryCore::Servers
+FlowEntryCore::BestRankedOwners(const FlowTuple& aTuple,
+                                const cluster::Route& aRoute) const
+{
+  Servers best;
   for (const cluster::WeightedService& share : aRoute.mServices) {
     const auto table = mTables.find(share.mService);
     if (table == mTables.end()) {
       continue;
     }
-    table->second.AppendPossibleOwners(hash, aNow, mOptions.mFlowLimit, owners);
-    if (aLookup.mAttempts > kCandidateLookups) {
-      table->second.AppendAll(hash, all);
-    }
     size_t local = 0;
     size_t remote = 0;
     for (const Candidate& candidate :
-         table->second.Candidates(hash, mOptions.mDomain)) {
+         table->second.Candidates(FlowHash(aTuple), mOptions.mDomain)) {
       size_t& count = candidate.mLocal ? local : remote;
       if (count++ < kNarrowLookupLimit) {
-        narrow.push_back(candidate.mRecord);
+        best.push_back(candidate.mRecord);
       }
     }
   }
+  return best;
+}
+
+FlowEntryCore::Servers
+FlowEntryCore::LookupTargets(const FlowTuple& aTuple,
+                             const cluster::Route& aRoute,
+                             OwnerLookup& aLookup,
+                             Instant aNow) const
+{
+  // A flow stays where it was opened when a later configuration sends the
+  // route's new flows to other services, so any service may have it. This
+  // instance may not have seen the earlier configuration.
+  const bool ofEveryService = aLookup.mAttempts > 1;
+  Servers owners = PossibleOwners(aTuple, aRoute, ofEveryService, aNow);
   const auto isExcluded = [&aLookup](const cluster::BackendRecord* aRecord) {
     return Contains(aLookup.mExcluded, AgentIp(aRecord));
   };
@@ -253,16 +292,39 @@
   aLookup.mPending.clear();
   std::ranges::transform(
     owners, std::back_inserter(aLookup.mPending), &AgentIp);
-  aLookup.mConclusive = owners.size() <= kMaxLookupTargets;
+  const bool asksEveryService =
+    ofEveryService || std::ranges::all_of(mTables, [&](const auto& aTable) {
+      return Serves(aRoute, aTable.first);
+    });
+  aLookup.mConclusive = asksEveryService && owners.size() <= kMaxLookupTargets;
   if (aLookup.mAttempts == 1 && owners.size() > kFirstLookupLimit) {
-    return narrow;
+    return BestRankedOwners(aTuple, aRoute);
   }
-  if (all.empty()) {
-    std::swap(all, owners);
+  if (aLookup.mAttempts > kCandidateLookups) {
+    AppendOtherServers(aTuple, aRoute, owners);
+    std::erase_if(owners, isExcluded);
+  }
+  owners.resize(std::min(owners.size(), kMaxLookupTargets));
+  return owners;
+}
+
+void
+FlowEntryCore::AppendOtherServers(const FlowTuple& aTuple,
+                                  const cluster::Route& aRoute,
+                                  Servers& aServers) const
+{
+  Servers all;
+  for (const cluster::WeightedService& share : aRoute.mServices) {
+    const auto table = mTables.find(share.mService);
+    if (table != mTables.end()) {
+      table->second.AppendAll(FlowHash(aTuple), all);
+    }
+  }
+  for (const cluster::BackendRecord* server : all) {
+    if (std::ranges::find(aServers, server) == aServers.end()) {
+      aServers.push_back(server);
+    }
   }
-  std::erase_if(all, isExcluded);
-  all.resize(std::min(all.size(), kMaxLookupTargets));
-  return all;
 }
 
 void
@@ -289,7 +351,8 @@
     return;
   }
   StartLookupAttempt(aTuple, aFlow, aBytes, aNow);
-  const bool isPartial = lookup.mAsked.size() < lookup.mPending.size();
+  const bool isPartial =
+    lookup.mAsked.size() < lookup.mPending.size() || !lookup.mConclusive;
   if (isPartial && lookup.mPacketBytes.empty() &&
       mWaitingPackets < kMaxWaitingPackets) {
     lookup.mPacketBytes.assign(aBytes.begin(), aBytes.end());
--- a/tests/Flow/FlowEntryCoreTest.cpp
+++ b/tests/Flow/FlowEntryCoreTest.cpp
@@ -440,6 +440,71 @@
   BOOST_TEST((mSent.back().mAgent == owner));
 }
 
+/// Six servers of the route's service, and three of another one.
+struct TwoServicesFixture : Fixture
+{
+  TwoServicesFixture()
+  {
+    for (size_t i = 6; i < 9; ++i) {
+      cluster::BackendRecord record;
+      record.mService = "library";
+      record.mAgent = AgentAddress(i);
+      record.mDomain = "a";
+      mReplica.ApplyChanges(Part::Backends,
+                            { { cluster::RecordName(record.mAgent),
+                                Revision(2),
+                                cluster::EncodeRecord(record) } },
+                            Revision(2));
+    }
+  }
+};
+
+// Guards against the reset of an open flow whose route goes to another service
+// now: an instance that has started since does not know the earlier service.
+BOOST_FIXTURE_TEST_CASE(FlowOfAnEarlierServiceIsNotReset, TwoServicesFixture)
+{
+  SendData(5001);
+  BOOST_REQUIRE(mSent.size() == 6U);
+  for (size_t i = 0; i < 6; ++i) {
+    Exclude(mSent[i].mAgent);
+  }
+  BOOST_TEST(mResets == 0U);
+  BOOST_REQUIRE(mSent.size() == 9U);
+  const Address owner = mSent[8].mAgent;
+  mCore->OnOwnerNotice(
+    NodeIp(owner.mIp), { { kCaller, kService }, true }, mNow);
+  SendData(5001);
+  BOOST_TEST((mSent.back().mAgent == owner));
+  BOOST_TEST(mResets == 0U);
+}
+
+// A silent agent of the route's present service must not keep the owner from
+// being asked.
+BOOST_FIXTURE_TEST_CASE(OtherServicesAreAskedInTheSecondAttempt,
+                        TwoServicesFixture)
+{
+  SendData(5001);
+  for (size_t i = 1; i < 6; ++i) {
+    Exclude(mSent[i].mAgent);
+  }
+  mNow += 200ms; // The caller's retransmission.
+  SendData(5001);
+  BOOST_REQUIRE(mSent.size() == 10U);
+  BOOST_TEST((mSent[6].mAgent == mSent[0].mAgent));
+}
+
+BOOST_FIXTURE_TEST_CASE(FlowWithoutAnOwnerInAnyServiceIsReset,
+                        TwoServicesFixture)
+{
+  SendData(5001);
+  for (size_t i = 0; i < 9; ++i) {
+    BOOST_TEST(mResets == 0U);
+    Exclude(mSent.at(i).mAgent);
+  }
+  BOOST_TEST(mResets == 1U);
+  BOOST_TEST(mCore->WaitingPackets() == 0U);
+}
+
 // A packet that follows its SYN to another entry instance may arrive before the
 // agent's reply: the agents that were offered the flow are asked first.
 BOOST_AUTO_TEST_CASE(ExclusionDuringPlacementDoesNotResetTheFlow)
