Flow, platform, FlowDaemon: a heartbeat without effect is not acknowledged

Cause: the agent answered 200 to every well-formed heartbeat, also when it took it for one of an earlier incarnation and ignored it. It did so for good after a heartbeat of another program without a start time, which it took for a restart, and after the time of day had stepped back between two incarnations.

Change: an ignored heartbeat is answered by 409. Missing and malformed fields make a heartbeat invalid. An incarnation that seems to be an earlier one takes over when nobody else has sent a heartbeat for 2 s. A late deregistration of an earlier incarnation with the same ID is ignored.

The bad bodies of HeartbeatCodecTest were all short of fields that are required now; each is replaced by a complete one with a single bad or missing field.

Tests of Flow and of the platform adapter: no failure.

--- a/include/snipepost/Flow/BackendStatus.h
+++ b/include/snipepost/Flow/BackendStatus.h
@@ -34,7 +34,8 @@
   /// A new incarnation of the backend server; the flows of the earlier one are
   /// lost.
   Restarted,
-  /// From an earlier incarnation, or received after a newer heartbeat.
+  /// From an earlier incarnation, or received after a newer heartbeat. It has
+  /// no effect and must not be acknowledged.
   Outdated,
   OtherService,
 };
@@ -42,17 +43,24 @@
 std::string_view
 ToString(HeartbeatOutcome aOutcome);
 
-/// State of an agent's backend server, as its heartbeats report it. Does no
-/// I/O; the time is an argument.
+/// State of an agent's backend server, as its heartbeats report it. Heartbeats
+/// of an incarnation that seems to be an earlier one are accepted once it has
+/// been the only one to send any for kTakeOverTime: the time of day from which
+/// incarnations take their start time may step back, and another program may
+/// have sent a heartbeat. Does no I/O; the time is an argument.
 class BackendStatus
 {
 public:
+  /// Longer than the interval between two heartbeats. Late heartbeats of an
+  /// incarnation that has ended arrive all at once.
+  static constexpr Duration kTakeOverTime = std::chrono::seconds(2);
+
   explicit BackendStatus(std::string aService);
 
   HeartbeatOutcome OnHeartbeat(const Heartbeat& aHeartbeat, Instant aNow);
-  /// Handles the backend server's deregistration. False when aId is not the
-  /// current incarnation.
-  bool OnDeregister(const std::string& aId);
+  /// Handles the backend server's deregistration. aStartTime is 0 when not
+  /// reported. False when it does not come from the current incarnation.
+  bool OnDeregister(const std::string& aId, uint64_t aStartTime = 0);
 
   /// False until the first heartbeat.
   bool HasHeartbeat() const { return mCurrent.has_value(); }
@@ -70,10 +78,27 @@
   void OnFlowAccepted(Instant aNow);
 
 private:
+  /// Heartbeats of an incarnation that seems to be an earlier one, since the
+  /// latest heartbeat of the current one.
+  struct Contender
+  {
+    std::string mId;
+    uint64_t mStartTime = 0;
+    uint64_t mSequence = 0;
+    Instant mSince;
+  };
+
   bool IsOutdated(const Heartbeat& aHeartbeat) const;
+  /// Handles an outdated heartbeat. True when its incarnation takes over.
+  bool TakesOver(const Heartbeat& aHeartbeat, Instant aNow);
+  /// True when an accepted heartbeat shows that the server has restarted.
+  /// aTookOver: it had seemed outdated.
+  bool IsRestart(const Heartbeat& aHeartbeat, bool aTookOver) const;
+  void AddEarlierId(const std::string& aId);
 
   std::string mService;
   std::optional<Heartbeat> mCurrent;
+  std::optional<Contender> mContender;
   /// IDs of earlier incarnations, whose heartbeats may still arrive.
   std::deque<std::string> mEarlierIds;
   bool mDeregistered = false;
--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -77,7 +77,7 @@
                        Instant aNow);
 
   HeartbeatOutcome OnHeartbeat(const Heartbeat& aHeartbeat, Instant aNow);
-  bool OnDeregister(const std::string& aId);
+  bool OnDeregister(const std::string& aId, uint64_t aStartTime = 0);
   /// Whether the backend server may have ended: it has deregistered, left its
   /// latest SYNs unanswered, or returned packets without being overloaded.
   bool MayHaveEnded() const;
--- a/src/Flow/BackendStatus.cpp
+++ b/src/Flow/BackendStatus.cpp
@@ -46,9 +46,9 @@
   if (!mCurrent) {
     return false;
   }
-  const bool bothHaveStartTime =
-    aHeartbeat.mStartTime != 0 && mCurrent->mStartTime != 0;
-  if (bothHaveStartTime && aHeartbeat.mStartTime != mCurrent->mStartTime) {
+  if (aHeartbeat.mStartTime != mCurrent->mStartTime) {
+    // A server reports its start time always or never, so one without it is not
+    // the current server.
     return aHeartbeat.mStartTime < mCurrent->mStartTime;
   }
   if (aHeartbeat.mId != mCurrent->mId) {
@@ -57,26 +57,68 @@
   return aHeartbeat.mSequence < mCurrent->mSequence || mDeregistered;
 }
 
+bool
+BackendStatus::TakesOver(const Heartbeat& aHeartbeat, Instant aNow)
+{
+  // A server that has deregistered was acknowledged to be gone.
+  const bool deregistered = mDeregistered && aHeartbeat.mId == mCurrent->mId &&
+                            aHeartbeat.mStartTime == mCurrent->mStartTime;
+  const bool same = mContender && mContender->mId == aHeartbeat.mId &&
+                    mContender->mStartTime == aHeartbeat.mStartTime &&
+                    mContender->mSequence < aHeartbeat.mSequence;
+  if (deregistered || !same) {
+    mContender = {
+      aHeartbeat.mId, aHeartbeat.mStartTime, aHeartbeat.mSequence, aNow
+    };
+    return false;
+  }
+  mContender->mSequence = aHeartbeat.mSequence;
+  return aNow - mContender->mSince >= kTakeOverTime;
+}
+
+bool
+BackendStatus::IsRestart(const Heartbeat& aHeartbeat, bool aTookOver) const
+{
+  if (aHeartbeat.mStartTime != 0 && mCurrent->mStartTime == 0) {
+    // The earlier heartbeats came from another program, and show no end of the
+    // server.
+    return false;
+  }
+  if (aHeartbeat.mId != mCurrent->mId ||
+      aHeartbeat.mStartTime != mCurrent->mStartTime) {
+    return true;
+  }
+  // Without a start time, only the sequence shows a restart.
+  return aTookOver && aHeartbeat.mStartTime == 0;
+}
+
+void
+BackendStatus::AddEarlierId(const std::string& aId)
+{
+  mEarlierIds.push_back(aId);
+  if (mEarlierIds.size() > kMaxEarlierIds) {
+    mEarlierIds.pop_front();
+  }
+}
+
 HeartbeatOutcome
 BackendStatus::OnHeartbeat(const Heartbeat& aHeartbeat, Instant aNow)
 {
   if (aHeartbeat.mService != mService) {
     return HeartbeatOutcome::OtherService;
   }
-  if (IsOutdated(aHeartbeat)) {
+  const bool outdated = IsOutdated(aHeartbeat);
+  if (outdated && !TakesOver(aHeartbeat, aNow)) {
     return HeartbeatOutcome::Outdated;
   }
+  mContender.reset();
   const bool first = !mCurrent;
-  const bool restarted =
-    !first && (aHeartbeat.mId != mCurrent->mId ||
-               aHeartbeat.mStartTime != mCurrent->mStartTime);
+  const bool restarted = !first && IsRestart(aHeartbeat, outdated);
   const bool changed = first || aHeartbeat.mState != mCurrent->mState ||
                        aHeartbeat.mSlots != mCurrent->mSlots;
-  if (restarted && aHeartbeat.mId != mCurrent->mId) {
-    mEarlierIds.push_back(mCurrent->mId);
-    if (mEarlierIds.size() > kMaxEarlierIds) {
-      mEarlierIds.pop_front();
-    }
+  if (!first && aHeartbeat.mId != mCurrent->mId) {
+    AddEarlierId(mCurrent->mId);
+    std::erase(mEarlierIds, aHeartbeat.mId);
   }
   mCurrent = aHeartbeat;
   mColdUntil = aNow + aHeartbeat.mColdRemaining;
@@ -88,9 +130,12 @@
 }
 
 bool
-BackendStatus::OnDeregister(const std::string& aId)
+BackendStatus::OnDeregister(const std::string& aId, uint64_t aStartTime)
 {
-  if (mCurrent && mCurrent->mId != aId) {
+  const bool otherStart = mCurrent && aStartTime != 0 &&
+                          mCurrent->mStartTime != 0 &&
+                          aStartTime != mCurrent->mStartTime;
+  if (otherStart || (mCurrent && mCurrent->mId != aId)) {
     return false;
   }
   mDeregistered = true;
--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -422,9 +422,9 @@
 }
 
 bool
-FlowAgentCore::OnDeregister(const std::string& aId)
+FlowAgentCore::OnDeregister(const std::string& aId, uint64_t aStartTime)
 {
-  return mStatus.OnDeregister(aId);
+  return mStatus.OnDeregister(aId, aStartTime);
 }
 
 void
--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -96,25 +96,26 @@
   }
   if (const auto* deregistration =
         std::get_if<platform::Deregistration>(&call)) {
-    const bool current = mCore.OnDeregister(deregistration->mId);
+    const bool current =
+      mCore.OnDeregister(deregistration->mId, deregistration->mStartTime);
     mNode.Log().Write(
       "backend-left",
       { { "id", deregistration->mId }, { "current", current ? "yes" : "no" } });
     Announce();
   } else if (const auto* heartbeat = std::get_if<flow::Heartbeat>(&call)) {
-    OnHeartbeat(*heartbeat);
+    return OnHeartbeat(*heartbeat);
   }
   return { 200, "{}" };
 }
 
-void
+http1::Response
 AgentNode::OnHeartbeat(const flow::Heartbeat& aHeartbeat)
 {
   mNode.Metrics().mHeartbeats.Add();
   mLastHeartbeat = mNode.Now();
   const auto outcome = mCore.OnHeartbeat(aHeartbeat, mNode.Now());
   if (outcome == flow::HeartbeatOutcome::Unchanged) {
-    return;
+    return { 200, "{}" };
   }
   const bool draining = aHeartbeat.mState == cluster::BackendState::Draining;
   mNode.Log().Write("heartbeat",
@@ -127,9 +128,11 @@
   if (outcome == flow::HeartbeatOutcome::Outdated ||
       outcome == flow::HeartbeatOutcome::OtherService) {
     mNode.Metrics().mRejectedHeartbeats.Add();
-    return;
+    // A server that leaves must not believe that the agent knows.
+    return { 409, "{}" };
   }
   Announce();
+  return { 200, "{}" };
 }
 
 void
--- a/src/FlowDaemon/AgentNode.h
+++ b/src/FlowDaemon/AgentNode.h
@@ -69,7 +69,7 @@
 
   void SendMessage(cluster::NodeIp aNode, const flow::NodeMessage& aMessage);
   http1::Response OnControlCall(const http1::Request& aRequest);
-  void OnHeartbeat(const flow::Heartbeat& aHeartbeat);
+  http1::Response OnHeartbeat(const flow::Heartbeat& aHeartbeat);
   /// Updates the desired record from the status of the backend server, and
   /// publishes it.
   void Announce();
--- a/tests/Flow/BackendStatusTest.cpp
+++ b/tests/Flow/BackendStatusTest.cpp
@@ -98,6 +98,93 @@
               HeartbeatOutcome::Outdated));
 }
 
+// Another program sends a heartbeat without a start time: it must not replace
+// the server, whose heartbeats would then be ignored.
+BOOST_AUTO_TEST_CASE(HeartbeatWithoutAStartTimeDoesNotReplaceTheServer)
+{
+  BackendStatus status("desk");
+  status.OnHeartbeat(MakeHeartbeat("i", 5, 7), kNow);
+  for (const char* id : { "i", "j" }) {
+    BOOST_TEST((status.OnHeartbeat(MakeHeartbeat(id, 0, 90), kNow) ==
+                HeartbeatOutcome::Outdated));
+  }
+  BOOST_TEST((status.OnHeartbeat(MakeHeartbeat("i", 5, 8), kNow) ==
+              HeartbeatOutcome::Unchanged));
+}
+
+// The same when it comes first: the server has not restarted, and its earlier
+// flows must not be taken for lost.
+BOOST_AUTO_TEST_CASE(ServerReplacesAHeartbeatWithoutAStartTime)
+{
+  BackendStatus status("desk");
+  status.OnHeartbeat(MakeHeartbeat("j", 0, 90), kNow);
+  BOOST_TEST((status.OnHeartbeat(MakeHeartbeat("i", 5, 8), kNow) !=
+              HeartbeatOutcome::Restarted));
+  BOOST_TEST(status.Id() == "i");
+}
+
+// Guards against a server whose heartbeats are ignored for good, because it
+// started after the time of day had stepped back.
+BOOST_AUTO_TEST_CASE(ServerThatAloneSendsHeartbeatsTakesOver)
+{
+  BackendStatus status("desk");
+  status.OnHeartbeat(MakeHeartbeat("i", 9000, 70), kNow);
+  for (uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    BOOST_TEST((status.OnHeartbeat(MakeHeartbeat("j", 5000, sequence),
+                                   kNow + sequence * 600ms) ==
+                HeartbeatOutcome::Outdated));
+  }
+  BOOST_TEST((status.OnHeartbeat(MakeHeartbeat("j", 5000, 4), kNow + 2600ms) ==
+              HeartbeatOutcome::Restarted));
+  BOOST_TEST(status.Id() == "j");
+}
+
+// Late heartbeats of an incarnation that has ended must not replace a server
+// that runs, whether they arrive at once or one by one.
+BOOST_AUTO_TEST_CASE(LateHeartbeatsDoNotTakeOver)
+{
+  BackendStatus status("desk");
+  status.OnHeartbeat(MakeHeartbeat("i", 9000, 1), kNow);
+  for (uint64_t sequence = 1; sequence <= 9; ++sequence) {
+    BOOST_TEST((status.OnHeartbeat(MakeHeartbeat("j", 5000, sequence),
+                                   kNow + 3s) == HeartbeatOutcome::Outdated));
+  }
+  for (uint64_t sequence = 10; sequence <= 15; ++sequence) {
+    const Instant now = kNow + sequence * 1s;
+    status.OnHeartbeat(MakeHeartbeat("i", 9000, sequence), now);
+    BOOST_TEST((status.OnHeartbeat(MakeHeartbeat("j", 5000, sequence), now) ==
+                HeartbeatOutcome::Outdated));
+  }
+  BOOST_TEST(status.Id() == "i");
+}
+
+// A server that was acknowledged to be gone must get no further request.
+BOOST_AUTO_TEST_CASE(DeregisteredServerDoesNotTakeOver)
+{
+  BackendStatus status("desk");
+  status.OnHeartbeat(MakeHeartbeat("i", 5, 1), kNow);
+  status.OnDeregister("i");
+  for (uint64_t sequence = 2; sequence <= 9; ++sequence) {
+    BOOST_TEST(
+      (status.OnHeartbeat(MakeHeartbeat("i", 5, sequence),
+                          kNow + sequence * 1s) == HeartbeatOutcome::Outdated));
+  }
+  BOOST_TEST(status.Draining());
+}
+
+// The deregistration of an earlier incarnation may arrive late, and the server
+// may have started again under the same ID.
+BOOST_AUTO_TEST_CASE(LateDeregistrationOfAnEarlierIncarnationIsIgnored)
+{
+  BackendStatus status("desk");
+  status.OnHeartbeat(MakeHeartbeat("i", 5, 9), kNow);
+  status.OnHeartbeat(MakeHeartbeat("i", 8, 1), kNow);
+  BOOST_TEST(!status.OnDeregister("i", 5));
+  BOOST_TEST(!status.Draining());
+  BOOST_TEST(status.OnDeregister("i", 8));
+  BOOST_TEST(status.Draining());
+}
+
 // The limit of a cold server applies to every second, not to the average.
 BOOST_AUTO_TEST_CASE(ColdBudgetHoldsForEverySecond)
 {
--- a/tests/platform/HeartbeatCodecTest.cpp
+++ b/tests/platform/HeartbeatCodecTest.cpp
@@ -1,3 +1,7 @@
+#include <utility>
+#include <vector>
+
+#include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <rapidcheck.h>
@@ -45,28 +49,47 @@
   const auto* deregistration = std::get_if<platform::Deregistration>(&call);
   BOOST_REQUIRE(deregistration);
   BOOST_TEST(deregistration->mId == "i-1");
+  BOOST_TEST(deregistration->mStartTime == 0U);
+  const auto withStartTime = platform::DecodeBackendCall(
+    { "POST", "/-/instances/i-1/deregister", R"({"born":17})" });
+  BOOST_TEST(std::get<platform::Deregistration>(withStartTime).mStartTime ==
+             17U);
 }
 
 // Other programs write the heartbeats: a malformed one must be rejected and not
 // change the agent's state.
 BOOST_AUTO_TEST_CASE(RejectsMissingAndMistypedFields)
 {
-  const char* const bodies[] = {
-    "",
-    "[]",
-    "\xff\xfe",
-    R"({"service":"s","state":"ready","concurrency":4})",
-    R"({"service":7,"state":"ready","concurrency":4,"sequence":1})",
-    R"({"service":"s","state":"asleep","concurrency":4,"sequence":1})",
-    R"({"service":"s","state":"ready","concurrency":0,"sequence":1})",
-    R"({"service":"s","state":"ready","concurrency":-4,"sequence":1})",
-    R"({"service":"s","state":"ready","concurrency":"4","sequence":1})",
+  for (const char* body : { "", "[]", "\xff\xfe" }) {
+    BOOST_TEST(
+      std::holds_alternative<platform::InvalidCall>(DecodeHeartbeat(body)));
+  }
+  const std::pair<const char*, std::vector<const char*>> badValues[] = {
+    { "service", { "7", "null", "[]" } },
+    { "address", { "7", "null", R"("10.0.0.1:99999")", R"("nowhere")" } },
+    { "zone", { "7", "null" } },
+    { "version", { "7", "{}" } },
+    { "concurrency", { "0", "-4", R"("4")", "4.5", "1e30" } },
+    { "state", { R"("asleep")", "7" } },
+    { "cold_remaining_ms", { "-1", R"("0")", "1e300" } },
+    { "sequence", { "-1", R"("4")", "null" } },
+    { "born", { "-1", R"("1700000000123")", "null", "0.5" } },
   };
-  for (const char* body : bodies) {
-    BOOST_TEST_CONTEXT(body)
+  for (const auto& [field, values] : badValues) {
+    auto object = boost::json::parse(kHeartbeatBody).as_object();
+    BOOST_TEST_CONTEXT(field)
     {
-      const auto call = DecodeHeartbeat(body);
-      BOOST_TEST(std::holds_alternative<platform::InvalidCall>(call));
+      for (const char* value : values) {
+        object[field] = boost::json::parse(value);
+        const auto call = DecodeHeartbeat(boost::json::serialize(object));
+        BOOST_TEST(std::holds_alternative<platform::InvalidCall>(call));
+      }
+      // A server reports its start time always or never.
+      if (std::string_view(field) != "born") {
+        object.erase(field);
+        const auto call = DecodeHeartbeat(boost::json::serialize(object));
+        BOOST_TEST(std::holds_alternative<platform::InvalidCall>(call));
+      }
     }
   }
 }
--- a/tests/platform/NodeTest.cpp
+++ b/tests/platform/NodeTest.cpp
@@ -31,6 +31,8 @@
 constexpr uint16_t kOutboundPort = 38162;
 constexpr uint16_t kInternalPort = 38720;
 constexpr uint16_t kStorePort = 38169;
+/// Start time of the backend server.
+constexpr uint64_t kStartTime = 1'700'000'000'000;
 constexpr uint8_t kSyn = 64;
 constexpr uint8_t kAck = 32;
 
@@ -155,13 +157,46 @@
     return *status;
   }
 
-  unsigned SendHeartbeat(const std::string& aState, int aSequence)
+  /// A heartbeat of the backend server that started at aStartTime; without a
+  /// start time if that is 0.
+  static json::object HeartbeatBody(const std::string& aState,
+                                    int aSequence,
+                                    uint64_t aStartTime)
   {
-    return Call({ kAgentIp, kControlPort },
-                { "POST",
-                  "/-/instances/i-1/heartbeat",
-                  R"({"service":"desk","concurrency":4,"state":")" + aState +
-                    R"(","sequence":)" + std::to_string(aSequence) + "}" });
+    json::object body = { { "service", "desk" },
+                          { "address", "127.77.1.4:38172" },
+                          { "zone", "a" },
+                          { "version", "v1" },
+                          { "concurrency", 4 },
+                          { "state", aState },
+                          { "cold_remaining_ms", 0 },
+                          { "sequence", aSequence } };
+    if (aStartTime != 0) {
+      body["born"] = aStartTime;
+    }
+    return body;
+  }
+
+  unsigned SendHeartbeat(const std::string& aState,
+                         int aSequence,
+                         uint64_t aStartTime = kStartTime,
+                         const std::string& aId = "i-1")
+  {
+    const auto body = HeartbeatBody(aState, aSequence, aStartTime);
+    return Call(
+      { kAgentIp, kControlPort },
+      { "POST", "/-/instances/" + aId + "/heartbeat", json::serialize(body) });
+  }
+
+  /// Whether a new flow reaches the backend server.
+  bool OpensNewFlow(uint16_t aPort)
+  {
+    const size_t before = mBackend.mDatagrams.size();
+    mCallers.Send(
+      PacketBytes({ kCallerIp, aPort }, kServiceAddress, kSyn, 100, 0),
+      { kEntryIp, kPacketPort });
+    RunFor(300ms);
+    return mBackend.mDatagrams.size() > before;
   }
 
   /// Stores a record of the agent's backend server, as an earlier process of
@@ -269,6 +304,40 @@
   BOOST_TEST(mBackend.mDatagrams.empty());
 }
 
+// Guards against requests that reach a leaving server: its agent had taken the
+// heartbeat of another program for that of a later incarnation, ignored the
+// server's own heartbeats from then on, and acknowledged them.
+BOOST_AUTO_TEST_CASE(HeartbeatWithoutAStartTimeDoesNotHideADrain)
+{
+  AnnounceBackend();
+  OpenFlow();
+  BOOST_TEST(SendHeartbeat("ready", 1, 0, "i-other") == 409U);
+  BOOST_TEST(SendHeartbeat("ready", 900, 0) == 409U);
+  mCallers.mDatagrams.clear();
+  mCallers.Send(PacketBytes(kCaller, kServiceAddress, kAck, 101, 5001),
+                { kEntryIp, kPacketPort });
+  RunFor(200ms);
+  BOOST_TEST(mCallers.mDatagrams.empty()); // No reset.
+  BOOST_TEST(SendHeartbeat("draining", 2) == 200U);
+  BOOST_TEST(!OpensNewFlow(42000));
+}
+
+// Guards against the same after the time of day stepped back: the start time of
+// the next incarnation is earlier than that of the one before.
+BOOST_AUTO_TEST_CASE(DrainAfterAClockStepIsNotAcknowledgedWithoutEffect)
+{
+  AnnounceBackend();
+  int sequence = 0;
+  const uint64_t earlier = kStartTime - 5000;
+  BOOST_TEST(SendHeartbeat("draining", ++sequence, earlier, "i-2") == 409U);
+  const auto acknowledged = [&] {
+    RunFor(700ms);
+    return SendHeartbeat("draining", ++sequence, earlier, "i-2") == 200U;
+  };
+  BOOST_TEST((acknowledged() || acknowledged() || acknowledged()));
+  BOOST_TEST(!OpensNewFlow(42000));
+}
+
 // A stopping entry instance fails its readiness probe, but still forwards the
 // packets that it receives.
 BOOST_AUTO_TEST_CASE(StoppingEntryInstanceForwards)
