--- a/src/Cluster/Replica.cpp
+++ b/src/Cluster/Replica.cpp
@@ -167,7 +167,7 @@
 Replica::ApplyRecord(const std::string& aName, const std::string& aText)
 {
   const auto record = DecodeRecord(aText);
-  if (!record) {
+  if (!record || RecordName(record->mAgent) != aName) {
     ++mUndecodableObjects;
     mBackends.erase(aName);
     mChanges.push_back("invalid record " + aName);
--- a/tests/Cluster/ReplicaTest.cpp
+++ b/tests/Cluster/ReplicaTest.cpp
@@ -38,6 +38,19 @@
   BOOST_TEST(replica.UndecodableObjects() == 2U);
 }
 
+// Another program wrote a record with the address of an agent that has one: the
+// agent must not be known twice.
+BOOST_AUTO_TEST_CASE(RecordWithTheNameOfAnotherAgentIsNotUsed)
+{
+  Replica replica(&DecodeSampleConfig);
+  ObjectChange copy = RecordChange(1, 3);
+  copy.mName = "copy";
+  replica.ApplySnapshot(Part::Backends,
+                        { Revision(3), { RecordChange(1, 2), copy } });
+  BOOST_TEST(replica.Backends().size() == 1U);
+  BOOST_TEST(!replica.Backends().contains("copy"));
+}
+
 BOOST_AUTO_TEST_CASE(SnapshotRemovesMissingObjects)
 {
   Replica replica(&DecodeSampleConfig);
--- a/tests/platform/NodeTest.cpp
+++ b/tests/platform/NodeTest.cpp
@@ -497,6 +497,34 @@
   BOOST_TEST(SendHeartbeat("ready", 3) == 200U);
 }
 
+// Guards against nodes that stop following the store, or end, because another
+// program wrote one odd record.
+BOOST_AUTO_TEST_CASE(OddRecordsDoNotKeepNodesFromFollowingTheStore)
+{
+  json::value nested = 1;
+  for (int level = 0; level < 100; ++level) {
+    nested = json::array{ std::move(nested) };
+  }
+  const json::object odd = { { "service", "desk" },
+                             { "agent", "127.77.1.9:99999" },
+                             { "domain", "a" },
+                             { "state", "ready" },
+                             { "slots", 4 } };
+  mStore.Put("backends", "127.77.1.9:99999", odd);
+  mStore.Put("backends", "nested", nested);
+  AnnounceBackend();
+  mStore.Put("backends", "nested", json::array{ nested });
+  mStore.Put("backends", "number", json::object{ { "slots", 1e300 } });
+  StoreRecord(cluster::BackendState::Draining);
+  // The agent restores its record, so changes are followed.
+  RunUntil([&] {
+    const auto& records = mEntryNode.State().Backends();
+    return records.size() == 1 &&
+           records.begin()->second.mState == cluster::BackendState::Ready;
+  });
+  BOOST_TEST(OpensNewFlow(42000));
+}
+
 // While the store is down, nodes forward packets by their last known state and
 // call the store at a low rate.
 BOOST_AUTO_TEST_CASE(FlowsAreForwardedDuringStoreOutage)
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -120,6 +120,20 @@
   BOOST_TEST(mRequests[1].mPath.ends_with("?after=a"));
 }
 
+// A name that another program chose must not make the request for the next page
+// malformed.
+BOOST_AUTO_TEST_CASE(NamesInQueriesAreEncoded)
+{
+  mResponses = {
+    { 200,
+      R"({"items":[{"meta":{"name":"1.2.3.4:5 \r\n&","rev":1},"spec":{}}],)"
+      R"("more":true,"current_rev":5})" },
+    { 200, R"({"items":[],"more":false,"current_rev":7})" },
+  };
+  BOOST_TEST((List(Part::Backends).mOutcome == ReadOutcome::Done));
+  BOOST_TEST(mRequests[1].mPath.ends_with("?after=1.2.3.4:5%20%0D%0A%26"));
+}
+
 BOOST_AUTO_TEST_CASE(ListOutcomes)
 {
   mResponses = { { 503, "" }, { 429, "" }, { 200, "garbage" } };
--- a/tests/platform/StoreCodecTest.cpp
+++ b/tests/platform/StoreCodecTest.cpp
@@ -9,6 +9,18 @@
 
 BOOST_AUTO_TEST_SUITE(StoreCodecTest)
 
+/// Specs that can't be parsed: nested too deeply, with a number that is too
+/// large, not UTF-8, and no JSON.
+std::vector<std::string>
+UnreadableSpecs()
+{
+  return { std::string(100'000, '[') + std::string(100'000, ']'),
+           R"({"slots":1e99999999999999})",
+           "{\"state\":\"\xff\xfe\"}",
+           R"({"a" 1, "b":"]\"}"})",
+           R"({"a":nonsense})" };
+}
+
 const std::string kConfig =
   R"({"version":7,"routes":[)"
   R"({"name":"r-1","host":"198.18.0.1","path_prefix":"/8443/","type":"safe",)"
@@ -75,6 +87,56 @@
   BOOST_TEST(page->mObjects[0].mCreated.Value() == 3U);
 }
 
+// Guards against nodes that stop following the store, because one object that
+// another program wrote can't be parsed. Its earlier content must not stay in
+// use.
+BOOST_AUTO_TEST_CASE(UnreadableObjectsDoNotHideTheOthers)
+{
+  for (const std::string& spec : UnreadableSpecs()) {
+    const auto page = platform::DecodeList(
+      R"({"items":[{"meta":{"name":"odd","rev":5},"spec":)" + spec +
+      R"(}, {"meta":{"name":"b","rev":6},"spec":{"x":1}}],)"
+      R"("more":true,"current_rev":9})");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->mMore);
+    BOOST_TEST(page->mRevision.Value() == 9U);
+    BOOST_REQUIRE(page->mObjects.size() == 2U);
+    BOOST_TEST(page->mObjects[0].mName == "odd");
+    BOOST_TEST(page->mObjects[0].mText->empty());
+    BOOST_TEST(*page->mObjects[1].mText == R"({"x":1})");
+    const auto watch = platform::DecodeWatch(
+      R"({"events":[{"object":{"meta":{"name":"odd","rev":5},"spec":)" + spec +
+      R"(},"deleted":false},{"deleted":true,"object":{"meta":{"name":"b",)"
+      R"("rev":6}}}],"current_rev":6})");
+    BOOST_REQUIRE(watch.has_value());
+    BOOST_REQUIRE(watch->mChanges.size() == 2U);
+    BOOST_TEST(watch->mChanges[0].mText->empty());
+    BOOST_TEST(!watch->mChanges[1].mText.has_value());
+    const auto stored = platform::DecodeStored(
+      R"({"meta":{"name":"odd","rev":5},"spec":)" + spec + "}");
+    BOOST_REQUIRE(stored.has_value());
+    BOOST_TEST(stored->mRevision.Value() == 5U);
+  }
+}
+
+// Guards against a division by zero, which ends the process.
+BOOST_AUTO_TEST_CASE(LargeNumbersInAConfigurationAreReduced)
+{
+  const auto config = platform::DecodeRouteConfig(
+    R"({"version":7,"routes":[{"host":"198.18.0.1","path_prefix":"/80/",)"
+    R"("timeout_ms":18446744073709551615,)"
+    R"("backends":[{"service":"a","weight":4294967296}]}],)"
+    R"("services":[{"name":"a","cold_per_s":1e400,)"
+    R"("max_connections":18446744073709551615}],)"
+    R"("limits":{"idle_timeout_ms":18446744073709551615}})");
+  BOOST_REQUIRE(config.has_value());
+  const auto& route = config->mRoutes.at(*ParseAddress("198.18.0.1:80"));
+  BOOST_TEST(route.mServices.at(0).mWeight > 0U);
+  BOOST_TEST((route.mTimeout > 0s));
+  BOOST_TEST((config->mIdleTimeout > 0s));
+  BOOST_TEST(config->mServices.at("a").mColdPerSecond == 0.0);
+}
+
 BOOST_AUTO_TEST_CASE(DecodesWatchEvents)
 {
   const auto watch = platform::DecodeWatch(
