--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -77,6 +77,7 @@
                        Instant aNow);
 
   HeartbeatOutcome OnHeartbeat(const Heartbeat& aHeartbeat, Instant aNow);
+  /// See BackendStatus::OnDeregister().
   bool OnDeregister(const std::string& aId, uint64_t aStartTime = 0);
   /// Whether the backend server may have ended: it has deregistered, left its
   /// latest SYNs unanswered, or returned packets without being overloaded.
@@ -120,8 +121,8 @@
     bool mTentative = false;
     /// The latest packet from mEntry was an owner lookup.
     bool mLookedUp = false;
-    /// The backend server has returned a packet of the flow and sent none
-    /// since, so it does not hold the flow.
+    /// The backend server has returned a packet of the flow and since then has
+    /// sent none but SYN-ACKs, so it does not hold the flow.
     bool mReturned = false;
     /// The incarnation of the backend server that owned the flow has ended.
     bool mOrphaned = false;
