NodeTest: each process has its own loopback addresses

Cause: NodeTest binds fixed loopback addresses. Evidence: two runs of the program at the same time fail in the same way on the code before (21 cases).

Change: the addresses follow from the process ID. No check changes.

Open: FleetStatusTest has fixed addresses, too, for 2 s.

--- a/tests/platform/NodeTest.cpp
+++ b/tests/platform/NodeTest.cpp
@@ -1,6 +1,8 @@
 #include <chrono>
 #include <optional>
 
+#include <unistd.h>
+
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -19,12 +21,16 @@
 
 namespace {
 
-constexpr uint32_t kEntryIp = 0x7f4d0101;
-constexpr uint32_t kAgentIp = 0x7f4d0102;
-constexpr uint32_t kStoreIp = 0x7f4d0103;
-constexpr uint32_t kBackendIp = 0x7f4d0104;
-constexpr uint32_t kCallerIp = 0x7f4d0105;
-constexpr uint32_t kPeerIp = 0x7f4d0106;
+/// A loopback network for each process, so that the test may run several times
+/// on one machine: 127.64.0.0 and up, by the lower 14 bits of the process ID.
+const uint32_t kNetwork =
+  0x7f400000 + ((static_cast<uint32_t>(getpid()) & 0x3fffU) << 8U);
+const uint32_t kEntryIp = kNetwork + 1;
+const uint32_t kAgentIp = kNetwork + 2;
+const uint32_t kStoreIp = kNetwork + 3;
+const uint32_t kBackendIp = kNetwork + 4;
+const uint32_t kCallerIp = kNetwork + 5;
+const uint32_t kPeerIp = kNetwork + 6;
 constexpr uint16_t kPacketPort = 38172;
 constexpr uint16_t kReadinessPort = 38167;
 constexpr uint16_t kControlPort = 38166;
@@ -108,7 +114,7 @@
 }
 
 constexpr Address kServiceAddress{ 0xc6120001, 443 };
-constexpr Address kCaller{ kCallerIp, 40001 };
+const Address kCaller{ kCallerIp, 40001 };
 
 /// An entry instance and an agent in one process, on loopback addresses.
 struct Deployment
@@ -164,7 +170,8 @@
                                     uint64_t aStartTime)
   {
     json::object body = { { "service", "desk" },
-                          { "address", "127.77.1.4:38172" },
+                          { "address",
+                            ToString(Address{ kBackendIp, kPacketPort }) },
                           { "zone", "a" },
                           { "version", "v1" },
                           { "concurrency", 4 },
@@ -506,11 +513,11 @@
     nested = json::array{ std::move(nested) };
   }
   const json::object odd = { { "service", "desk" },
-                             { "agent", "127.77.1.9:99999" },
+                             { "agent", "127.0.0.9:99999" },
                              { "domain", "a" },
                              { "state", "ready" },
                              { "slots", 4 } };
-  mStore.Put("backends", "127.77.1.9:99999", odd);
+  mStore.Put("backends", "127.0.0.9:99999", odd);
   mStore.Put("backends", "nested", nested);
   AnnounceBackend();
   mStore.Put("backends", "nested", json::array{ nested });
