--- a/tests/platform/StoreCodecTest.cpp
+++ b/tests/platform/StoreCodecTest.cpp
@@ -119,7 +119,8 @@
   }
 }
 
-// Guards against a division by zero, which ends the process.
+// Guards against a weight of 2^32 that becomes 0, by which the choice of a
+// service would divide, and against times that become negative.
 BOOST_AUTO_TEST_CASE(LargeNumbersInAConfigurationAreReduced)
 {
   const auto config = platform::DecodeRouteConfig(
