Flow, FlowDaemon: a server that starts just before its agent has no earlier flow

What callers saw: after a power failure of everything while a failure domain is evacuated, requests on flows whose server had ended got no answer until their time limit, for ten seconds and more. Resets on proof stopped four seconds after the restart.

Their servers had started 30 ms before them (born, agent ...189), so the first heartbeat that they received was the second one (sequence 2). Such an agent can't know that it has forwarded every SYN of its server; it lets the server decide, which an evacuated failure domain forbids. One silent possible owner blocks the reset of every flow that it may own.

Change: a server that is at most 100 ms older than its agent, by the time of day of their one machine, and has sent at most three heartbeats, has no flow from before the agent: an earlier agent would have had to start, receive the state and a heartbeat, open a flow and end in that time. And a flow that is known only from a lookup before the first heartbeat is excluded once the agent tracks all flows; the agent kept silent about it in an evacuated domain. The other circumstances without an answer stay, each bounded by flow-limit-ms or by the server: an older server in an evacuated domain, offers of entry instances of the previous version, a full flow table, a server that neither refuses a connection nor answers.

Tests: ServerStartedJustBeforeTheAgentHasNoEarlierFlow and LookupFromBeforeTheFirstHeartbeatIsAnsweredLater fail without the change; ServerThatMayHaveEarlierFlowsPreventsExclusions holds the bounds.

--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -46,6 +46,9 @@
   /// Time for which packets of existing flows are still forwarded after the
   /// agent learned that its own failure domain is evacuated.
   Duration mEvacuationGrace = std::chrono::milliseconds(2500);
+  /// Start of the agent by the machine's time of day, in milliseconds since the
+  /// Unix epoch; 0 when unknown.
+  uint64_t mStartTime = 0;
 };
 
 /// The decisions of an agent: which new flows its backend server accepts, and
@@ -198,6 +201,9 @@
   void RemoveAnsweredSyns();
   void Erase(Flows::iterator aFlow);
   void OrphanFlows();
+  /// True when the first heartbeat of an incarnation shows that no earlier
+  /// agent can have opened a flow for it.
+  bool HasNoEarlierFlow(const Heartbeat& aHeartbeat) const;
   bool WithinEvacuationGrace(Instant aNow);
   bool BackendUnresponsive(Instant aNow);
   void ReportDecision(Verdict aVerdict,
--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -26,6 +26,15 @@
 /// Time that a new record takes to reach nearly every entry instance.
 constexpr Duration kAnnouncementTime = std::chrono::milliseconds(1500);
 
+/// Less than the time in which an agent can start, receive the shared state and
+/// the first heartbeat, open a flow and end, and the next agent can start.
+constexpr uint64_t kMinAgentLifetimeMs = 100;
+
+/// An incarnation that is not older than kMinAgentLifetimeMs when its agent
+/// starts has sent at most this many heartbeats until the agent receives one.
+/// Limits the effect of a step of the time of day.
+constexpr uint64_t kFirstHeartbeats = 3;
+
 /// Limit of flows when the configuration sets none.
 constexpr uint32_t kDefaultMaxFlows = 1000;
 
@@ -63,7 +72,11 @@
   const FlowTuple tuple = CallerFlow(aPacket);
   const auto found = mFlows.find(tuple);
   const bool lookedUp = aPacket.mMark == TransitMark::OwnerLookup;
-  if (found == mFlows.end() && TracksAllFlows(aNow)) {
+  if (TracksAllFlows(aNow) &&
+      (found == mFlows.end() || found->second.mTentative)) {
+    if (found != mFlows.end()) {
+      Erase(found);
+    }
     NotifyNotOwned(tuple, aFrom, lookedUp, aNow);
     return;
   }
@@ -374,18 +387,33 @@
     OrphanFlows();
     mBackendStartedAfterAgent = true;
   } else if (first) {
-    // The first heartbeat of an incarnation, received before any packet of its
-    // flows, shows that no flow is older than the agent. Callers' packets of
-    // unknown flows show nothing.
+    // Received before any packet of the incarnation's flows, such a heartbeat
+    // shows that no flow is older than the agent. Callers' packets of unknown
+    // flows show nothing.
     mBackendStartedAfterAgent =
       mBackendStartedAfterAgent ||
-      (aHeartbeat.mSequence <= 1 &&
+      (HasNoEarlierFlow(aHeartbeat) &&
        std::ranges::all_of(
          mFlows, [](const auto& aItem) { return aItem.second.mTentative; }));
   }
   return outcome;
 }
 
+bool
+FlowAgentCore::HasNoEarlierFlow(const Heartbeat& aHeartbeat) const
+{
+  if (aHeartbeat.mSequence <= 1) {
+    return true;
+  }
+  // After a power failure, a server may start some milliseconds before its
+  // agent, which then misses the first heartbeat. Both start times are from the
+  // clock of the same machine.
+  return aHeartbeat.mStartTime != 0 && mOptions.mStartTime != 0 &&
+         aHeartbeat.mSequence <= kFirstHeartbeats &&
+         aHeartbeat.mStartTime <= mOptions.mStartTime &&
+         mOptions.mStartTime - aHeartbeat.mStartTime <= kMinAgentLifetimeMs;
+}
+
 void
 FlowAgentCore::OrphanFlows()
 {
--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -28,6 +28,10 @@
   // The other half of the limit is the time that the evacuation may take to
   // reach this instance.
   options.mEvacuationGrace = aSettings.mEvacuationLimit / 2;
+  options.mStartTime = static_cast<uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
   return options;
 }
 
--- a/tests/Flow/FlowAgentCoreTest.cpp
+++ b/tests/Flow/FlowAgentCoreTest.cpp
@@ -16,6 +16,9 @@
 constexpr NodeIp kEntry(0x0a0000f1);
 constexpr NodeIp kOtherEntry(0x0a0000f2);
 
+/// Time of day at which the agent started, in milliseconds.
+constexpr uint64_t kAgentStartTime = 1'000'000;
+
 /// An agent in domain a whose backend server and entry instances are emulated
 /// by the test.
 struct Fixture : AgentOutput
@@ -27,6 +30,7 @@
     AgentOptions options;
     options.mService = "desk";
     options.mDomain = "a";
+    options.mStartTime = kAgentStartTime;
     mCore = std::make_unique<FlowAgentCore>(
       options, mReplica, *this, mDecisions, mNow);
   }
@@ -748,6 +752,58 @@
   BOOST_TEST(mExclusions.size() == 2U);
 }
 
+// Guards against callers that wait for their time limit after a power failure:
+// a server started 30 ms before its agent, which missed the first heartbeat. The
+// failure domain is evacuated, so the agent can't ask its server.
+BOOST_AUTO_TEST_CASE(ServerStartedJustBeforeTheAgentHasNoEarlierFlow)
+{
+  mReplica.ApplyChanges(
+    Part::Evacuations, { { "a", Revision(2), "{}" } }, Revision(2));
+  mCore->Expire(mNow); // The agent notices the evacuation.
+  mNow += 3s;
+  SendHeartbeat(kAgentStartTime - 30, 2);
+  CallerSends(9, TransitMark::OwnerLookup);
+  BOOST_TEST(mExclusions.size() == 1U);
+  BOOST_TEST(mToBackend == 0U);
+}
+
+// An earlier agent may have opened flows for each of these servers, which an
+// exclusion would break.
+BOOST_AUTO_TEST_CASE(ServerThatMayHaveEarlierFlowsPreventsExclusions)
+{
+  struct Case
+  {
+    uint64_t mStartTime;
+    uint64_t mSequence;
+  };
+  constexpr Case kCases[] = {
+    { kAgentStartTime - 500, 2 }, // An agent may have run and ended since.
+    { kAgentStartTime - 30, 40 }, // The time of day has stepped back.
+    { kAgentStartTime + 30, 40 }, // The time of day has stepped back further.
+    { 0, 2 },                     // The server reports no start time.
+  };
+  for (const Case& each : kCases) {
+    Fixture agent;
+    agent.SendHeartbeat(each.mStartTime, each.mSequence);
+    agent.CallerSends(9, TransitMark::OwnerLookup);
+    BOOST_TEST(agent.mExclusions.empty());
+  }
+}
+
+// A lookup from before the first heartbeat must not silence the agent once its
+// failure domain is evacuated.
+BOOST_AUTO_TEST_CASE(LookupFromBeforeTheFirstHeartbeatIsAnsweredLater)
+{
+  CallerSends(9, TransitMark::OwnerLookup);
+  SendHeartbeat(5, 1);
+  mReplica.ApplyChanges(
+    Part::Evacuations, { { "a", Revision(2), "{}" } }, Revision(2));
+  mCore->Expire(mNow);
+  mNow += 1s;
+  CallerSends(9, TransitMark::OwnerLookup);
+  BOOST_TEST(mExclusions.size() == 1U);
+}
+
 // The first heartbeat that a restarted agent receives is not the first one of a
 // server that has already sent packets of a flow.
 BOOST_AUTO_TEST_CASE(FlowSeenBeforeTheFirstHeartbeatPreventsExclusions)
