Flow: a rejected SYN does not reset or silence a flow that another instance placed

What callers would see: a caller whose SYN copy reaches another entry instance than the first SYN can have its open flow reset, or get no answer on it until the request timeout.

Cause: EntryFlow::mRejected meant both "the SYN was rejected here" and "every possible owner has excluded itself". An instance that rejected a SYN copy without an offer (no server of the route's service, or all evacuated) answered the later packets of the flow with resets, without asking any agent, although an earlier copy may have been placed by another instance. When all offers had been refused it dropped the packets instead. And packets that arrive before the shared state of an instance that starts were dropped, so their callers waited for their next retransmission, up to 1.6 s.

Change: mOwnerEnded, which only the exclusions of all possible owners set, is what a reset of a later packet rests on. A flow without an offer that may still be accepted is looked up. A packet before the shared state is looked up as soon as that is complete, within the bound of waiting packets.

Tests: RejectedSynDoesNotResetAnOpenFlow (2 resets instead of 1), StartingInstanceLooksUpOwnersAfterTheSharedState and FlowWhoseOffersWereRefusedIsLookedUp fail without the change.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -81,9 +81,11 @@
   /// Handles a change of the replicated state.
   void OnReplicaChanged(cluster::Part aPart, Instant aNow);
 
-  /// When OnTimer() is due; nothing while no offer is pending.
+  /// When OnTimer() is due; nothing while no offer is pending and no lookup
+  /// waits for the shared state.
   std::optional<Instant> NextDeadline() const;
-  /// Offers SYNs to the next candidate when an agent did not reply in time.
+  /// Offers SYNs to the next candidate when an agent did not reply in time, and
+  /// starts lookups that waited for the shared state.
   void OnTimer(Instant aNow);
   /// Removes closed, idle and abandoned half-open flows; called about twice a
   /// second.
@@ -153,7 +155,11 @@
     /// Set by the caller's first acknowledgement or an agent's notice;
     /// ResolveOwner() no longer changes the owner then.
     bool mResolved = false;
+    /// The SYN was rejected here. The flow may be open all the same: another
+    /// entry instance may have placed an earlier copy of the SYN.
     bool mRejected = false;
+    /// Every possible owner has excluded itself.
+    bool mOwnerEnded = false;
     bool mClosing = false;
     OwnerLookup mLookup;
     std::optional<Instant> mDeadline;
@@ -228,6 +234,17 @@
                           EntryFlow& aFlow,
                           std::span<const uint8_t> aBytes,
                           Instant aNow);
+  /// Asks the first agents of a lookup, and keeps the packet while others may
+  /// have to be asked.
+  void StartLookup(const FlowTuple& aTuple,
+                   EntryFlow& aFlow,
+                   std::span<const uint8_t> aBytes,
+                   Instant aNow);
+  /// Keeps the packet of a lookup for a later attempt, within
+  /// kMaxWaitingPackets.
+  void KeepPacket(EntryFlow& aFlow, std::span<const uint8_t> aBytes);
+  /// Starts a lookup that waits for the shared state once that is complete.
+  void ResumeLookup(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
   /// Handles the reply of an agent that was asked for the owner.
   void OnLookupReply(const EntryFlow& aFlow, cluster::NodeIp aFrom);
   /// Counts an offer or a lookup without a reply.
@@ -280,7 +297,7 @@
   Instant mLastOverload;
   /// Flows whose SYN is deferred until the shared state is complete.
   std::vector<FlowTuple> mDeferredFlows;
-  /// Flows with a pending offer, by deadline.
+  /// Flows with a pending offer, or a lookup that waits, by deadline.
   std::set<std::pair<Instant, FlowTuple>> mDeadlines;
 };
 
--- a/src/Flow/FlowEntryCoreLookup.cpp
+++ b/src/Flow/FlowEntryCoreLookup.cpp
@@ -32,6 +32,10 @@
 /// Attempts after which the packets of a flow are dropped.
 constexpr uint32_t kMaxLookups = 24;
 
+/// Interval of the checks whether the shared state is complete, which it is
+/// some 100 ms after the start.
+constexpr Duration kIncompleteStateInterval = std::chrono::milliseconds(50);
+
 /// Largest distance of a caller's acknowledgement from the backend server's
 /// initial sequence number, for the first packets of a flow. Also the largest
 /// difference between the acknowledgements of successive packets of a flow.
@@ -120,7 +124,7 @@
     OnLookupReply(found->second, aFrom);
   }
   if (found == mFlows.end() || found->second.mOwner ||
-      found->second.mRejected) {
+      found->second.mOwnerEnded) {
     return;
   }
   OwnerLookup& lookup = found->second.mLookup;
@@ -167,7 +171,7 @@
                             EntryFlow& aFlow,
                             Instant aNow)
 {
-  aFlow.mRejected = true;
+  aFlow.mOwnerEnded = true;
   aFlow.mClosing = true;
   mOutput.SendReset(aFlow.mLookup.mPacket);
   EndLookup(aFlow);
@@ -205,12 +209,14 @@
     return;
   }
   // The reply of the agent that accepted the flow was lost or is in transit.
-  if (!aFlow.mOffers.empty()) {
-    for (const Offer& offer : aFlow.mOffers) {
-      if (offer.mState != OfferState::Refused) {
-        mOutput.SendToAgent(aBytes, offer.mAgent, 0, TransitMark::OwnerLookup);
-      }
+  bool mayBeAccepted = false;
+  for (const Offer& offer : aFlow.mOffers) {
+    if (offer.mState != OfferState::Refused) {
+      mayBeAccepted = true;
+      mOutput.SendToAgent(aBytes, offer.mAgent, 0, TransitMark::OwnerLookup);
     }
+  }
+  if (mayBeAccepted) {
     return;
   }
   LookUpOwner(aTuple, aFlow, aPacket, aBytes, aNow);
@@ -334,7 +340,7 @@
                            std::span<const uint8_t> aBytes,
                            Instant aNow)
 {
-  if (aFlow.mRejected) {
+  if (aFlow.mOwnerEnded) {
     mOutput.SendReset(aPacket);
     return;
   }
@@ -350,16 +356,55 @@
     }
     return;
   }
+  if (!mReplica.Complete()) {
+    KeepPacket(aFlow, aBytes);
+    SetDeadline(aTuple, aFlow, aNow + kIncompleteStateInterval);
+    return;
+  }
+  StartLookup(aTuple, aFlow, aBytes, aNow);
+}
+
+void
+FlowEntryCore::StartLookup(const FlowTuple& aTuple,
+                           EntryFlow& aFlow,
+                           std::span<const uint8_t> aBytes,
+                           Instant aNow)
+{
   StartLookupAttempt(aTuple, aFlow, aBytes, aNow);
-  const bool isPartial =
-    lookup.mAsked.size() < lookup.mPending.size() || !lookup.mConclusive;
-  if (isPartial && lookup.mPacketBytes.empty() &&
-      mWaitingPackets < kMaxWaitingPackets) {
-    lookup.mPacketBytes.assign(aBytes.begin(), aBytes.end());
+  const OwnerLookup& lookup = aFlow.mLookup;
+  if (lookup.mAsked.size() < lookup.mPending.size() || !lookup.mConclusive) {
+    KeepPacket(aFlow, aBytes);
+  }
+}
+
+void
+FlowEntryCore::KeepPacket(EntryFlow& aFlow, std::span<const uint8_t> aBytes)
+{
+  auto& kept = aFlow.mLookup.mPacketBytes;
+  if (kept.empty() && mWaitingPackets < kMaxWaitingPackets) {
+    kept.assign(aBytes.begin(), aBytes.end());
     ++mWaitingPackets;
   }
 }
 
+// The caller retransmits a packet after up to 1.6 s, so one that arrives before
+// the shared state is not dropped.
+void
+FlowEntryCore::ResumeLookup(const FlowTuple& aTuple,
+                            EntryFlow& aFlow,
+                            Instant aNow)
+{
+  if (!mReplica.Complete()) {
+    SetDeadline(aTuple, aFlow, aNow + kIncompleteStateInterval);
+    return;
+  }
+  const auto bytes = std::exchange(aFlow.mLookup.mPacketBytes, {});
+  --mWaitingPackets;
+  if (!aFlow.mOwner) {
+    StartLookup(aTuple, aFlow, bytes, aNow);
+  }
+}
+
 void
 FlowEntryCore::StartLookupAttempt(const FlowTuple& aTuple,
                                   EntryFlow& aFlow,
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -392,11 +392,17 @@
     const auto found = mFlows.find(tuple);
     // After the process was frozen, the flow may have expired, and a later
     // packet may have added it again.
-    if (found == mFlows.end() || found->second.mOffers.empty()) {
+    if (found == mFlows.end()) {
       continue;
     }
     found->second.mDeadline.reset();
     EntryFlow& flow = found->second;
+    if (flow.mOffers.empty()) {
+      if (!flow.mLookup.mPacketBytes.empty()) {
+        ResumeLookup(tuple, flow, aNow);
+      }
+      continue;
+    }
     Offer& offer = flow.mOffers.back();
     offer.mState = OfferState::TimedOut;
     AgentView& view = mViews[offer.mAgent];
--- a/tests/Flow/FlowEntryCoreTest.cpp
+++ b/tests/Flow/FlowEntryCoreTest.cpp
@@ -347,6 +347,57 @@
   BOOST_TEST(mSent.size() == 12U);
 }
 
+// Guards against the loss of packets that arrive while the instance starts.
+BOOST_AUTO_TEST_CASE(StartingInstanceLooksUpOwnersAfterTheSharedState)
+{
+  cluster::Replica replica(&DecodeSampleConfig);
+  mCore = std::make_unique<FlowEntryCore>(
+    EntryOptions{ "a" }, replica, *this, mDecisions, mNow);
+  SendData(1);
+  BOOST_TEST(mSent.empty());
+  FillReplica(replica, 6, 3, 4);
+  for (const Part part : cluster::kParts) {
+    mCore->OnReplicaChanged(part, mNow);
+  }
+  AdvanceTime(100ms);
+  BOOST_TEST(mSent.size() == 6U);
+  mCore.reset();
+}
+
+// Guards against the reset of an open flow: another entry instance has placed
+// an earlier copy of the SYN that this instance rejects.
+BOOST_AUTO_TEST_CASE(RejectedSynDoesNotResetAnOpenFlow)
+{
+  mReplica.ApplyChanges(Part::Evacuations,
+                        { { "a", Revision(2), "{}" },
+                          { "b", Revision(2), "{}" },
+                          { "c", Revision(2), "{}" } },
+                        Revision(2));
+  SendSyn(1);
+  BOOST_TEST(mResets == 1U);
+  SendData(5001);
+  BOOST_TEST(mResets == 1U);
+  BOOST_TEST(mSent.size() == 6U);
+  mCore->OnOwnerNotice(
+    NodeIp(mSent[3].mAgent.mIp), { { kCaller, kService }, true }, mNow);
+  SendData(5002);
+  BOOST_TEST((mSent.back().mMark == TransitMark::Owner));
+}
+
+// Guards against requests that are never answered: agents have refused a copy
+// of the SYN, but another entry instance has placed the flow.
+BOOST_AUTO_TEST_CASE(FlowWhoseOffersWereRefusedIsLookedUp)
+{
+  SendSyn();
+  for (size_t i = 0; i < mSent.size(); ++i) {
+    const Address agent = mSent[i].mAgent;
+    ReplyToOffer(agent, Refusal::NotReady);
+  }
+  mSent.clear();
+  SendData(5001);
+  BOOST_TEST(mSent.size() == 6U);
+}
+
 // Packets that wait must not take more memory than a few of the smallest
 // instances can spare.
 BOOST_AUTO_TEST_CASE(WaitingPacketsAreBounded)
