Flow, platform: replies with expected waits, and refusal code 10

Cause: an agent has no way to tell an entry instance that it holds a SYN, nor how long a flow of each priority would wait there.

Change: OfferReply gets mWaits and mAnnouncesWaits. A reply with waits or with Refusal::Queued is message type 5; all others are type 2 with the same bytes as before, except that an agent that announces support writes 2 into the last byte. Packet::mReadsWaits is bit 64 of the mark's byte and is written for offers only. A type 5 message can be as long as a packet, so an entry instance that receives a datagram of that length which is not a valid packet tries it as a message.

No agent sends type 5 yet, and no entry instance sets the bit yet.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -25,10 +25,12 @@
   virtual ~EntryOutput() = default;
 
   /// Sends a caller's packet to an agent with the given transit fields.
+  /// aReadsWaits is Packet::mReadsWaits; it is true for offers only.
   virtual void SendToAgent(std::span<const uint8_t> aBytes,
                            const Address& aAgent,
                            uint32_t aServiceTag,
-                           TransitMark aMark) = 0;
+                           TransitMark aMark,
+                           bool aReadsWaits) = 0;
   /// Responds to a caller's packet with a reset.
   virtual void SendReset(const Packet& aPacket) = 0;
 };
--- a/include/snipepost/Flow/NodeMessage.h
+++ b/include/snipepost/Flow/NodeMessage.h
@@ -35,11 +35,26 @@
   /// The backend server resets its flows. Entry instances of the previous
   /// version can't decode it and wait for the reply timeout.
   Failing,
+  /// The agent holds the SYN, and will forward it to its backend server or
+  /// refuse it later. Sent only to entry instances that set
+  /// Packet::mReadsWaits.
+  Queued,
 };
 
 std::string_view
 ToString(Refusal aRefusal);
 
+/// The time that a new flow with a given priority would wait at an agent.
+struct ReportedWait
+{
+  /// 0 is the most urgent.
+  uint8_t mPriority = 0;
+  /// Encoded in whole milliseconds, up to 65,535.
+  Duration mWait{};
+
+  bool operator==(const ReportedWait&) const = default;
+};
+
 /// An agent's reply to an offered SYN.
 struct OfferReply
 {
@@ -55,6 +70,16 @@
   uint16_t mSlots = 1;
   /// The backend server started recently and is still slow.
   bool mCold = false;
+  /// Expected waits by priority, most urgent first. A reply with waits, or with
+  /// Refusal::Queued, has a type of its own, which entry instances of the
+  /// previous version can't decode.
+  std::vector<ReportedWait> mWaits;
+  /// The agent reads Packet::mReadsWaits. Not encoded for a cold backend
+  /// server, unless the reply has waits or is Refusal::Queued.
+  bool mAnnouncesWaits = false;
+
+  /// Limit of mWaits; further ones are not encoded.
+  static constexpr size_t kMaxWaits = 4;
 
   bool operator==(const OfferReply&) const = default;
 };
--- a/include/snipepost/Flow/Packet.h
+++ b/include/snipepost/Flow/Packet.h
@@ -55,6 +55,10 @@
   /// SYN: the sender offers flows only to their candidates (CandidateTable).
   /// Entry instances of the previous version do not.
   bool mOfferedToCandidate = false;
+  /// SYN: the sender decodes replies with waits and Refusal::Queued. Set only
+  /// for agents that have announced support (OfferReply::mAnnouncesWaits);
+  /// others would take the mark for an unknown one.
+  bool mReadsWaits = false;
 
   bool IsSyn() const { return mSyn && !mAck; }
   bool IsSynAck() const { return mSyn && mAck; }
--- a/src/Flow/FlowEntryCore.cpp
+++ b/src/Flow/FlowEntryCore.cpp
@@ -129,7 +129,7 @@
                              ? 0
                              : ServiceTag(ServiceOf(route->second, aTuple));
       mOutput.SendToAgent(
-        aFlow.mSynBytes, offer.mAgent, tag, TransitMark::OfferFinal);
+        aFlow.mSynBytes, offer.mAgent, tag, TransitMark::OfferFinal, false);
       return;
     }
   }
--- a/src/Flow/FlowEntryCoreLookup.cpp
+++ b/src/Flow/FlowEntryCoreLookup.cpp
@@ -96,7 +96,7 @@
       flow.mOwner = record.mAgent;
       flow.mResolved = true;
       for (const auto& packet : flow.mLookup.mWaiting) {
-        mOutput.SendToAgent(packet, *flow.mOwner, 0, TransitMark::Owner);
+        mOutput.SendToAgent(packet, *flow.mOwner, 0, TransitMark::Owner, false);
       }
       EndLookup(flow);
       // The reply to the offer was lost; no further offer is made.
@@ -205,7 +205,7 @@
 {
   ResolveOwner(aFlow, aPacket);
   if (aFlow.mOwner) {
-    mOutput.SendToAgent(aBytes, *aFlow.mOwner, 0, TransitMark::Owner);
+    mOutput.SendToAgent(aBytes, *aFlow.mOwner, 0, TransitMark::Owner, false);
     return;
   }
   // The reply of the agent that accepted the flow was lost or is in transit.
@@ -213,7 +213,8 @@
   for (const Offer& offer : aFlow.mOffers) {
     if (offer.mState != OfferState::Refused) {
       mayBeAccepted = true;
-      mOutput.SendToAgent(aBytes, offer.mAgent, 0, TransitMark::OwnerLookup);
+      mOutput.SendToAgent(
+        aBytes, offer.mAgent, 0, TransitMark::OwnerLookup, false);
     }
   }
   if (mayBeAccepted) {
@@ -432,7 +433,8 @@
   for (const cluster::BackendRecord* server :
        LookupTargets(aTuple, *route, lookup, aNow)) {
     lookup.mAsked.push_back(server->mAgent);
-    mOutput.SendToAgent(aBytes, server->mAgent, 0, TransitMark::OwnerLookup);
+    mOutput.SendToAgent(
+      aBytes, server->mAgent, 0, TransitMark::OwnerLookup, false);
   }
   // Names one of the agents that an earlier attempt may have waited for.
   const bool repeated = lookup.mAttempts > 1 && !lookup.mAsked.empty();
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -75,6 +75,7 @@
       return std::chrono::milliseconds(500);
     case Refusal::None:
     case Refusal::Busy:
+    case Refusal::Queued:
       break;
   }
   return Duration::zero();
@@ -210,8 +211,11 @@
   aFlow.mOffers.push_back(
     { agent, aNow, OfferState::Pending, Refusal::None, aMark, 0, 0.0 });
   SetDeadline(aTuple, aFlow, aNow + ReplyTimeout(aCandidate));
-  mOutput.SendToAgent(
-    aFlow.mSynBytes, agent, ServiceTag(aCandidate.mRecord->mService), aMark);
+  mOutput.SendToAgent(aFlow.mSynBytes,
+                      agent,
+                      ServiceTag(aCandidate.mRecord->mService),
+                      aMark,
+                      false);
   ReportDecision(
     Verdict::Offered, aTuple, aFlow, agent, Refusal::None, {}, aNow);
   view.mLoad = EstimatedLoad(view, aNow) + 1.0;
--- a/src/Flow/NodeMessage.cpp
+++ b/src/Flow/NodeMessage.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include <snipepost/Base/Bytes.h>
 
@@ -18,15 +19,21 @@
   OfferReply = 2,
   OwnerNotice = 3,
   OwnerExclusion = 4,
+  OfferReplyWithWaits = 5,
 };
 
 constexpr uint8_t kReplyWanted = 1;
 constexpr uint8_t kAgentRole = 2;
 constexpr std::array kRefusalNames = {
-  "none",      "busy",          "full",      "cold",   "draining",
-  "evacuated", "wrong-service", "not-ready", "silent", "failing",
+  "none",          "busy",      "full",   "cold",    "draining", "evacuated",
+  "wrong-service", "not-ready", "silent", "failing", "queued",
 };
 
+// Values of the last byte of OfferReply. Nodes of the previous version read
+// every value but kCold as not cold.
+constexpr uint8_t kCold = 1;
+constexpr uint8_t kAnnouncesWaits = 2;
+
 void
 WriteAddress(ByteWriter& aOut, const Address& aAddress)
 {
@@ -127,17 +134,41 @@
   }
 }
 
+bool
+HasWaits(const OfferReply& aReply)
+{
+  return !aReply.mWaits.empty() || aReply.mRefusal == Refusal::Queued;
+}
+
+void
+WriteWaits(ByteWriter& aOut, const OfferReply& aReply)
+{
+  const size_t count = std::min(aReply.mWaits.size(), OfferReply::kMaxWaits);
+  aOut.U8(static_cast<uint8_t>(count));
+  for (size_t i = 0; i < count; ++i) {
+    aOut.U8(aReply.mWaits[i].mPriority);
+    aOut.U16(Milliseconds(aReply.mWaits[i].mWait));
+  }
+}
+
 void
 Write(ByteWriter& aOut, const OfferReply& aReply)
 {
-  WriteHeader(aOut, Type::OfferReply);
+  const bool hasWaits = HasWaits(aReply);
+  WriteHeader(aOut, hasWaits ? Type::OfferReplyWithWaits : Type::OfferReply);
   WriteFlow(aOut, aReply.mFlow);
   aOut.U32(aReply.mCallerSequence);
   aOut.U8(static_cast<uint8_t>(aReply.mRefusal));
   aOut.U32(aReply.mBackendSequence);
   aOut.U16(aReply.mLoad);
   aOut.U16(aReply.mSlots);
-  aOut.U8(aReply.mCold ? 1 : 0);
+  if (hasWaits) {
+    aOut.U8(aReply.mCold ? kCold : 0);
+    WriteWaits(aOut, aReply);
+    return;
+  }
+  const uint8_t announcement = aReply.mAnnouncesWaits ? kAnnouncesWaits : 0;
+  aOut.U8(aReply.mCold ? kCold : announcement);
 }
 
 void
@@ -185,24 +216,49 @@
   return digest;
 }
 
-std::optional<NodeMessage>
-ReadOfferReply(ByteReader& aIn)
+std::optional<OfferReply>
+ReadReplyFields(ByteReader& aIn, Refusal aLastRefusal)
 {
   OfferReply reply;
   reply.mFlow = ReadFlow(aIn);
   reply.mCallerSequence = aIn.U32();
   const uint8_t refusal = aIn.U8();
-  if (refusal >= kRefusalNames.size()) {
+  if (refusal > static_cast<uint8_t>(aLastRefusal)) {
     return std::nullopt;
   }
   reply.mRefusal = static_cast<Refusal>(refusal);
   reply.mBackendSequence = aIn.U32();
   reply.mLoad = aIn.U16();
   reply.mSlots = aIn.U16();
-  reply.mCold = aIn.U8() == 1;
+  const uint8_t last = aIn.U8();
+  reply.mCold = last == kCold;
+  reply.mAnnouncesWaits = last == kAnnouncesWaits;
   return reply;
 }
 
+std::optional<NodeMessage>
+ReadOfferReply(ByteReader& aIn)
+{
+  auto reply = ReadReplyFields(aIn, Refusal::Failing);
+  return reply ? std::optional<NodeMessage>(std::move(*reply)) : std::nullopt;
+}
+
+std::optional<NodeMessage>
+ReadOfferReplyWithWaits(ByteReader& aIn)
+{
+  auto reply = ReadReplyFields(aIn, Refusal::Queued);
+  const size_t count = aIn.U8();
+  if (!reply || count > OfferReply::kMaxWaits) {
+    return std::nullopt;
+  }
+  reply->mAnnouncesWaits = true;
+  for (size_t i = 0; i < count; ++i) {
+    const uint8_t priority = aIn.U8();
+    reply->mWaits.push_back({ priority, std::chrono::milliseconds(aIn.U16()) });
+  }
+  return std::move(*reply);
+}
+
 std::optional<NodeMessage>
 ReadOwnerNotice(ByteReader& aIn)
 {
@@ -260,6 +316,9 @@
     case Type::OwnerExclusion:
       message = ReadOwnerExclusion(in);
       break;
+    case Type::OfferReplyWithWaits:
+      message = ReadOfferReplyWithWaits(in);
+      break;
   }
   if (!in.Ok() || !in.Rest().empty()) {
     return std::nullopt;
--- a/src/FlowDaemon/EntryNode.cpp
+++ b/src/FlowDaemon/EntryNode.cpp
@@ -53,13 +53,18 @@
 void
 EntryNode::OnDatagram(std::span<const uint8_t> aBytes, const Address& aFrom)
 {
-  // Agents send messages to the same socket; these are shorter than packets.
+  // Agents send messages to the same socket. Most are shorter than packets; the
+  // others are not valid packets.
   if (aBytes.size() < platform::kPacketHeaderSize) {
     mNode.OnDatagram(aBytes, aFrom);
     return;
   }
-  mNode.Metrics().mPacketsIn.Add();
   const auto packet = platform::DecodePacket(aBytes);
+  if (!packet && flow::DecodeMessage(aBytes)) {
+    mNode.OnDatagram(aBytes, aFrom);
+    return;
+  }
+  mNode.Metrics().mPacketsIn.Add();
   if (!packet || packet->mReturned) {
     mNode.Metrics().mMalformedPackets.Add();
     return;
@@ -162,11 +167,13 @@
 EntryNode::SendToAgent(std::span<const uint8_t> aBytes,
                        const Address& aAgent,
                        uint32_t aServiceTag,
-                       flow::TransitMark aMark)
+                       flow::TransitMark aMark,
+                       bool aReadsWaits)
 {
   const auto out = mSocket.Reserve();
   std::memcpy(out.data(), aBytes.data(), aBytes.size());
-  platform::WriteTransitFields(out.first(aBytes.size()), aServiceTag, aMark);
+  platform::WriteTransitFields(
+    out.first(aBytes.size()), aServiceTag, aMark, aReadsWaits);
   mSocket.Commit(aBytes.size(), aAgent);
   mNode.Metrics().mPacketsOut.Add();
 }
--- a/src/FlowDaemon/EntryNode.h
+++ b/src/FlowDaemon/EntryNode.h
@@ -39,7 +39,8 @@
   void SendToAgent(std::span<const uint8_t> aBytes,
                    const Address& aAgent,
                    uint32_t aServiceTag,
-                   flow::TransitMark aMark) override;
+                   flow::TransitMark aMark,
+                   bool aReadsWaits) override;
   void SendReset(const flow::Packet& aPacket) override;
 
 private:
--- a/tests/Flow/FlowEntryCoreTest.cpp
+++ b/tests/Flow/FlowEntryCoreTest.cpp
@@ -37,7 +37,8 @@
   void SendToAgent(std::span<const uint8_t>,
                    const Address& aAgent,
                    uint32_t aServiceTag,
-                   TransitMark aMark) override
+                   TransitMark aMark,
+                   bool) override
   {
     mSent.push_back({ aAgent, aServiceTag, aMark });
   }
--- a/tests/Flow/FlowModel.cpp
+++ b/tests/Flow/FlowModel.cpp
@@ -94,7 +94,8 @@
   void SendToAgent(std::span<const uint8_t>,
                    const Address& aAgent,
                    uint32_t aServiceTag,
-                   TransitMark aMark) override;
+                   TransitMark aMark,
+                   bool aReadsWaits) override;
   void SendReset(const Packet& aPacket) override
   {
     Packet reset;
@@ -304,12 +305,14 @@
 FlowModel::Entry::SendToAgent(std::span<const uint8_t> aBytes,
                               const Address& aAgent,
                               uint32_t aServiceTag,
-                              TransitMark aMark)
+                              TransitMark aMark,
+                              bool aReadsWaits)
 {
   const size_t agent = aAgent.mIp - AgentAddress(0).mIp;
   Packet packet = Decode(aBytes);
   packet.mServiceTag = aServiceTag;
   packet.mMark = aMark;
+  packet.mReadsWaits = aReadsWaits;
   mModel.ScheduleAt(mModel.mNow + mModel.PathDelay(mIndex, agent),
                     [this, agent, packet] {
                       mModel.mAgents[agent]->OnPacket(packet, EntryIp(mIndex));
--- a/tests/Flow/NodeMessageTest.cpp
+++ b/tests/Flow/NodeMessageTest.cpp
@@ -8,6 +8,16 @@
 
 using namespace snipepost;
 using namespace snipepost::flow;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Offsets in an encoded OfferReply.
+constexpr size_t kTypeOffset = 3;
+constexpr size_t kRefusalOffset = 20;
+constexpr size_t kLastOffset = 29;
+
+} // namespace
 
 BOOST_AUTO_TEST_SUITE(NodeMessageTest)
 
@@ -28,12 +38,20 @@
   reply.mLoad = 7;
   reply.mSlots = 8;
   reply.mCold = true;
+  OfferReply waits = reply;
+  waits.mWaits = { { 0, 12ms }, { 3, 65535ms } };
+  waits.mAnnouncesWaits = true;
+  OfferReply queued;
+  queued.mRefusal = Refusal::Queued;
+  queued.mAnnouncesWaits = true;
+  OfferReply announcement;
+  announcement.mAnnouncesWaits = true;
   const OwnerNotice notice{ { kCaller, kService }, true };
   const OwnerExclusion exclusion{ { kCaller, kService },
                                   { cluster::Revision(9), 10, true } };
-  const std::vector<NodeMessage> messages = {
-    digest, reply, notice, exclusion
-  };
+  const std::vector<NodeMessage> messages = { digest,   reply,        waits,
+                                              queued,   announcement, notice,
+                                              exclusion };
   for (const NodeMessage& message : messages) {
     const auto bytes = EncodeMessage(message);
     BOOST_TEST(bytes.size() <= kMaxNodeMessage);
@@ -61,7 +79,68 @@
   BOOST_TEST(encodedRevision(99, 0) == 99U);
 }
 
+// Guards against replies that an entry instance of the previous version can't
+// decode: without waits and Refusal::Queued, only the last byte may differ from
+// what that version writes, and it must not be 1 unless the server is cold.
+BOOST_AUTO_TEST_CASE(ReplyWithoutWaitsIsThatOfThePreviousVersion)
+{
+  for (uint8_t code = 0; code <= 9; ++code) {
+    for (const bool cold : { false, true }) {
+      OfferReply reply;
+      reply.mFlow = { kCaller, kService };
+      reply.mRefusal = static_cast<Refusal>(code);
+      reply.mCold = cold;
+      const auto previous = EncodeMessage(reply);
+      BOOST_TEST(previous.size() == kLastOffset + 1);
+      BOOST_TEST(previous.at(kTypeOffset) == 2);
+      BOOST_TEST(previous.at(kRefusalOffset) == code);
+      BOOST_TEST(previous.at(kLastOffset) == (cold ? 1 : 0));
+      reply.mAnnouncesWaits = true;
+      auto announced = EncodeMessage(reply);
+      BOOST_TEST(announced.at(kLastOffset) == (cold ? 1 : 2));
+      announced.at(kLastOffset) = previous.at(kLastOffset);
+      BOOST_TEST(announced == previous);
+    }
+  }
+}
+
+// Guards against an agent of the previous version that is taken to announce
+// support, and against a code of type 5 in a message of type 2.
+BOOST_AUTO_TEST_CASE(ReplyOfThePreviousVersionIsDecodedAsBefore)
+{
+  auto bytes = EncodeMessage(OfferReply());
+  for (const int last : { 0, 1, 3, 255 }) {
+    bytes.at(kLastOffset) = static_cast<uint8_t>(last);
+    const auto message = DecodeMessage(bytes);
+    BOOST_REQUIRE(message.has_value());
+    const auto& reply = std::get<OfferReply>(*message);
+    BOOST_TEST(reply.mCold == (last == 1));
+    BOOST_TEST(!reply.mAnnouncesWaits);
+  }
+  bytes.at(kRefusalOffset) = static_cast<uint8_t>(Refusal::Queued);
+  BOOST_TEST(!DecodeMessage(bytes).has_value());
+}
+
+// Guards against a reply that an entry instance rejects as malformed because it
+// has more waits than the limit.
+BOOST_AUTO_TEST_CASE(WaitsAreLimited)
+{
+  OfferReply reply;
+  reply.mWaits.assign(OfferReply::kMaxWaits + 1, { 1, 70s });
+  auto bytes = EncodeMessage(reply);
+  BOOST_TEST(bytes.at(kTypeOffset) == 5);
+  const auto message = DecodeMessage(bytes);
+  BOOST_REQUIRE(message.has_value());
+  const auto& waits = std::get<OfferReply>(*message).mWaits;
+  BOOST_TEST(waits.size() == OfferReply::kMaxWaits);
+  BOOST_TEST((waits.back() == ReportedWait{ 1, 65535ms }));
+  bytes.at(kLastOffset + 1) = OfferReply::kMaxWaits + 1;
+  BOOST_TEST(!DecodeMessage(bytes).has_value());
+}
+
 // Messages of agents share a socket with packets, which have 32 bytes or more.
+// Replies with waits are longer
+// (PacketCodecTest/RepliesWithWaitsAreNotPackets).
 BOOST_AUTO_TEST_CASE(MessagesOfAgentsAreShorterThanPackets)
 {
   BOOST_TEST(EncodeMessage(OfferReply()).size() < 32U);
--- a/tests/platform/PacketCodecTest.cpp
+++ b/tests/platform/PacketCodecTest.cpp
@@ -2,6 +2,8 @@
 
 #include <rapidcheck.h>
 
+#include <snipepost/Flow/NodeMessage.h>
+
 #include "platform/PacketCodec.h"
 
 using namespace snipepost;
@@ -65,6 +67,47 @@
   BOOST_TEST(!packet->mOfferedToCandidate);
 }
 
+// Guards against an agent of the previous version that gets a mark it does not
+// know: without an announcement the byte is as before, and with one the bit is
+// set on offers only.
+BOOST_AUTO_TEST_CASE(OnlyOffersToAnnouncedAgentsReadWaits)
+{
+  using flow::TransitMark;
+  for (const TransitMark mark : { TransitMark::Owner,
+                                  TransitMark::OwnerLookup,
+                                  TransitMark::OfferIfFree,
+                                  TransitMark::OfferFinal }) {
+    const bool isOffer = mark >= TransitMark::OfferIfFree;
+    for (const bool announced : { false, true }) {
+      auto bytes = kSynPacket;
+      platform::WriteTransitFields(bytes, 7, mark, announced);
+      const int flags = (isOffer ? 128 : 0) + (isOffer && announced ? 64 : 0);
+      BOOST_TEST(bytes[9] == static_cast<int>(mark) + flags);
+      const auto packet = platform::DecodePacket(bytes);
+      BOOST_REQUIRE(packet.has_value());
+      BOOST_TEST((packet->mMark == mark));
+      BOOST_TEST(packet->mReadsWaits == (isOffer && announced));
+    }
+  }
+}
+
+// Guards against a reply that is taken for a packet because it is as long as
+// one: both arrive at the same socket of an entry instance.
+BOOST_AUTO_TEST_CASE(RepliesWithWaitsAreNotPackets)
+{
+  for (size_t waits = 0; waits <= flow::OfferReply::kMaxWaits; ++waits) {
+    for (uint16_t value = 0; value < 512; ++value) {
+      flow::OfferReply reply;
+      reply.mRefusal = flow::Refusal::Queued;
+      reply.mWaits.resize(waits);
+      reply.mLoad = value;
+      reply.mSlots = value;
+      BOOST_TEST(
+        !platform::DecodePacket(flow::EncodeMessage(reply)).has_value());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RejectsWrongLengths)
 {
   auto bytes = kSynPacket;
