Flow: new flows wait at the agent, ordered by priority and target latency

Cause: the agent forwarded every flow that it accepted to its server at once, so the wait was in the server's own queue, first in first out.

Change: FlowScheduler joins FlowQueue and BackendCapacity. The server gets its slots and a learnt look-ahead; further flows wait at the agent, and a flow that can't be served in time is refused at once. Active only for a service whose routes have different priorities, and for offers of entry instances that read such replies; AgentOptions::mScheduleFlows switches it off.

--- a/include/snipepost/Flow/AdmissionGate.h
+++ b/include/snipepost/Flow/AdmissionGate.h
@@ -12,6 +12,8 @@
 struct AdmissionInputs
 {
   TransitMark mMark = TransitMark::OfferFinal;
+  /// The FlowScheduler decides by the load.
+  bool mScheduled = false;
   /// The SYN is a retransmission, sent at least 200 ms after the first one.
   bool mRetransmission = false;
   /// The agent has received the state that the decision requires.
--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -13,6 +13,7 @@
 #include <snipepost/Flow/BackendStatus.h>
 #include <snipepost/Flow/CircuitBreaker.h>
 #include <snipepost/Flow/Decision.h>
+#include <snipepost/Flow/FlowScheduler.h>
 #include <snipepost/Flow/Packet.h>
 
 namespace snipepost::flow {
@@ -49,6 +50,8 @@
   /// Start of the agent by the machine's time of day, in milliseconds since the
   /// Unix epoch; 0 when unknown.
   uint64_t mStartTime = 0;
+  /// Whether new flows may wait at the agent, ordered by priority.
+  bool mScheduleFlows = true;
 };
 
 /// The decisions of an agent: which new flows its backend server accepts, and
@@ -104,6 +107,8 @@
   /// Requests that the backend server processes or queues.
   uint32_t Load() const { return mLoad; }
   size_t FlowCount() const { return mFlows.size(); }
+  /// Flows that wait at the agent.
+  size_t WaitingFlows() const { return mScheduler.Queue().Size(); }
   /// Flows that are not closed or have a request without a response.
   size_t OpenFlows() const;
   /// True when the table contains every flow of the backend server, because the
@@ -138,7 +143,11 @@
     cluster::NodeIp mEntry;
     /// Entry instance that was last notified of the ownership.
     cluster::NodeIp mNotifiedEntry;
+    /// mEntry decodes replies with expected waits.
+    bool mEntryReadsWaits = false;
     Instant mOpenedAt;
+    /// When the request in progress was forwarded to the backend server.
+    Instant mRequestAt;
     Instant mBusySince;
     Instant mLastSeen;
   };
@@ -156,12 +165,44 @@
              std::span<const uint8_t> aBytes,
              cluster::NodeIp aFrom,
              Instant aNow);
-  Refusal CheckAdmission(const Packet& aPacket, Instant aNow);
+  /// Flows that the cold backend server may still get in this second; nothing
+  /// when it is not limited.
+  std::optional<uint32_t> ColdBudget(Instant aNow);
+  Refusal CheckAdmission(const Packet& aPacket, bool aScheduled, Instant aNow);
+  /// Whether the agent may hold the SYN: scheduling applies, and the entry
+  /// instance understands that the flow waits.
+  bool IsScheduled(const Packet& aSyn);
+  FlowScheduler::ServerLoad CurrentLoad() const;
+  /// Forwards, holds or refuses a SYN that passed CheckAdmission().
+  void ScheduleFlow(const Packet& aPacket,
+                    std::span<const uint8_t> aBytes,
+                    cluster::NodeIp aFrom,
+                    Instant aNow);
+  /// Replies to the retransmission of a SYN that waits.
+  void OnWaitingSyn(WaitingFlow& aFlow,
+                    std::span<const uint8_t> aBytes,
+                    cluster::NodeIp aFrom,
+                    Instant aNow);
+  /// Forwards the waiting flows that the backend server can take, and refuses
+  /// those that can't be served any more.
+  void ForwardWaitingFlows(Instant aNow);
+  void RefuseWaiting(const WaitingFlow& aFlow,
+                     Refusal aRefusal,
+                     std::string_view aReason,
+                     Instant aNow);
+  /// Why no waiting flow can be served; None while they can.
+  Refusal ServerRefusal() const;
   bool Ready(Instant aNow) const;
   void AcceptFlow(const Packet& aPacket,
                   std::span<const uint8_t> aBytes,
                   cluster::NodeIp aFrom,
                   Instant aNow);
+  /// Adds a flow whose SYN goes to the backend server.
+  void AddFlow(const FlowTuple& aTuple,
+               uint32_t aCallerSequence,
+               cluster::NodeIp aFrom,
+               bool aEntryReadsWaits,
+               Instant aNow);
   void OnUnknownFlow(const Packet& aPacket,
                      std::span<const uint8_t> aBytes,
                      cluster::NodeIp aFrom,
@@ -175,7 +216,14 @@
                     AgentFlow& aFlow,
                     const Packet& aPacket,
                     Instant aNow);
-  void SendOfferReply(cluster::NodeIp aTo,
+  /// The recipient of a reply to an offer.
+  struct OfferSource
+  {
+    cluster::NodeIp mEntry;
+    bool mReadsWaits = false;
+  };
+
+  void SendOfferReply(const OfferSource& aTo,
                       const FlowTuple& aTuple,
                       uint32_t aCallerSequence,
                       uint32_t aBackendSequence,
@@ -190,6 +238,10 @@
   void CountResult(const AgentFlow& aFlow, const Packet& aPacket, Instant aNow);
   /// Updates the mean service time when a response ends a request.
   void UpdateServiceTime(const AgentFlow& aFlow, Instant aNow);
+  /// Passes the service time of a request to the scheduler.
+  void UpdateCapacity(const FlowTuple& aTuple,
+                      const AgentFlow& aFlow,
+                      Instant aNow);
   /// False when the caller continued the flow with the SYN-ACK of another
   /// backend server.
   bool ChosenByCaller(const AgentFlow& aFlow, const Packet& aPacket) const;
@@ -205,6 +257,8 @@
   /// agent can have opened a flow for it.
   bool HasNoEarlierFlow(const Heartbeat& aHeartbeat) const;
   bool WithinEvacuationGrace(Instant aNow);
+  bool LeavesSynsUnanswered() const;
+  /// True unless the SYN may go to the backend server as a probe.
   bool BackendUnresponsive(Instant aNow);
   void ReportDecision(Verdict aVerdict,
                       const FlowTuple& aTuple,
@@ -220,6 +274,9 @@
   Instant mStart;
   BackendStatus mStatus;
   CircuitBreaker mBreaker;
+  FlowScheduler mScheduler;
+  /// When the waiting flows are next checked although no packet arrives.
+  Instant mNextQueueCheck;
   /// The backend server's current incarnation started while this agent was
   /// running, or the next one will.
   bool mBackendStartedAfterAgent = false;
--- /dev/null
+++ b/include/snipepost/Flow/FlowScheduler.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <snipepost/Cluster/RouteConfig.h>
+#include <snipepost/Flow/BackendCapacity.h>
+#include <snipepost/Flow/FlowQueue.h>
+#include <snipepost/Flow/NodeMessage.h>
+#include <snipepost/Flow/Packet.h>
+
+namespace snipepost::flow {
+
+/// Decides which new flows an agent forwards to its backend server at once,
+/// which wait at the agent, and which are refused. The server gets at most its
+/// slots and a small look-ahead, so that the order of service follows the
+/// priorities and target latencies of the routes and not the server's queue.
+///
+/// Active while the routes that send new flows to the service have different
+/// priorities. Does no I/O; the time is an argument.
+class FlowScheduler
+{
+public:
+  /// What happens to an offered flow.
+  enum class Outcome : uint8_t
+  {
+    Forwarded,
+    /// The flow was added to the queue.
+    Queued,
+    /// No slot is free, and the offer requires one.
+    NoFreeSlot,
+    /// The response would be late, or the queue is full.
+    TooLate,
+  };
+
+  /// The backend server as the agent sees it.
+  struct ServerLoad
+  {
+    /// Requests that the server processes or queues, and flows that are being
+    /// opened.
+    uint32_t mRequests = 0;
+    uint32_t mSlots = 1;
+  };
+
+  FlowScheduler(std::string aService, bool aAllowed);
+
+  void SetConfig(std::shared_ptr<const cluster::RouteConfig> aConfig);
+  bool Active() const { return mLevels.size() > 1; }
+
+  /// The flow of a SYN, as it would wait at aNow. Nothing when the SYN's route
+  /// is unknown.
+  std::optional<WaitingFlow> MakeFlow(const Packet& aSyn,
+                                      cluster::NodeIp aEntry,
+                                      const ServerLoad& aLoad,
+                                      Instant aNow) const;
+
+  /// Decides about a flow that isn't queued. aEvicted receives the flows that
+  /// have to be refused instead; they haven't run.
+  Outcome Offer(WaitingFlow aFlow,
+                TransitMark aMark,
+                const ServerLoad& aLoad,
+                std::vector<WaitingFlow>& aEvicted,
+                Instant aNow);
+
+  /// The next flow to forward; nothing while the server is busy.
+  std::optional<WaitingFlow> Next(const ServerLoad& aLoad, Instant aNow);
+
+  /// Expected waits of new flows by priority, most urgent first.
+  std::vector<ReportedWait> Waits(const ServerLoad& aLoad, Instant aNow) const;
+
+  FlowQueue& Queue() { return mQueue; }
+  const FlowQueue& Queue() const { return mQueue; }
+  BackendCapacity& Capacity() { return mCapacity; }
+  /// Forgets what was learnt from an earlier incarnation of the server.
+  void ResetCapacity() { mCapacity = BackendCapacity(); }
+
+private:
+  /// A priority of the service's routes, with its shortest target latency.
+  struct Level
+  {
+    uint32_t mPriority = 0;
+    Duration mObjective{};
+  };
+
+  uint32_t Window(const ServerLoad& aLoad, Instant aNow) const;
+  /// Expected time until the server can take a flow, without the queue.
+  Duration WaitAtServer(const ServerLoad& aLoad, Instant aNow) const;
+  /// Expected time from forwarding a SYN until the response.
+  Duration TimeToResponse(const Address& aRoute,
+                          const ServerLoad& aLoad,
+                          Instant aNow) const;
+
+  std::string mService;
+  bool mAllowed = true;
+  std::shared_ptr<const cluster::RouteConfig> mConfig;
+  /// By priority; empty while the setting forbids scheduling.
+  std::vector<Level> mLevels;
+  FlowQueue mQueue;
+  BackendCapacity mCapacity;
+};
+
+} // namespace snipepost::flow
--- a/src/Flow/AdmissionGate.cpp
+++ b/src/Flow/AdmissionGate.cpp
@@ -90,7 +90,7 @@
   if (aInputs.mFlows >= aInputs.mMaxFlows) {
     return Refusal::Full;
   }
-  return AdmitByLoad(aInputs);
+  return aInputs.mScheduled ? Refusal::None : AdmitByLoad(aInputs);
 }
 
 } // namespace snipepost::flow
--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -55,6 +55,7 @@
   , mDecisions(aDecisions)
   , mStart(aStart)
   , mStatus(mOptions.mService)
+  , mScheduler(mOptions.mService, mOptions.mScheduleFlows)
   , mServiceTime(kInitialServiceTime)
 {
 }
@@ -120,10 +121,13 @@
     // ReleaseHalfOpenLoad() had stopped counting it.
     flow.mEstablished = true;
     SetBusy(flow, true, aNow);
+    mScheduler.Capacity().OnOpened(aNow - flow.mOpenedAt);
+    flow.mRequestAt = aNow;
   }
   flow.mCallerFin = flow.mCallerFin || aPacket.mFin;
   if (aPacket.mLength > 0 && !flow.mBusy) {
     SetBusy(flow, true, aNow);
+    flow.mRequestAt = aNow;
   }
   if (lookedUp && !flow.mTentative) {
     NotifyOwned(tuple, flow);
@@ -181,10 +185,16 @@
   return aNow - *mEvacuatedSince < mOptions.mEvacuationGrace;
 }
 
+bool
+FlowAgentCore::LeavesSynsUnanswered() const
+{
+  return mUnansweredSyns >= kUnresponsiveAfter;
+}
+
 bool
 FlowAgentCore::BackendUnresponsive(Instant aNow)
 {
-  if (mUnansweredSyns < kUnresponsiveAfter) {
+  if (!LeavesSynsUnanswered()) {
     return false;
   }
   if (aNow < mNextProbe) {
@@ -207,21 +217,40 @@
          (routesReceived || !mStatus.Cold(aNow));
 }
 
+std::optional<uint32_t>
+FlowAgentCore::ColdBudget(Instant aNow)
+{
+  const auto routes = mReplica.Routes();
+  const auto service = routes->mServices.find(mOptions.mService);
+  if (!mStatus.Cold(aNow)) {
+    return std::nullopt;
+  }
+  if (service == routes->mServices.end()) {
+    return 0;
+  }
+  if (service->second.mColdPerSecond <= 0.0) {
+    return std::nullopt;
+  }
+  return mStatus.ColdBudget(service->second.mColdPerSecond, aNow);
+}
+
 Refusal
-FlowAgentCore::CheckAdmission(const Packet& aPacket, Instant aNow)
+FlowAgentCore::CheckAdmission(const Packet& aPacket,
+                              bool aScheduled,
+                              Instant aNow)
 {
   const auto routes = mReplica.Routes();
   const auto route = routes->mRoutes.find(aPacket.mDestination);
   const auto service = routes->mServices.find(mOptions.mService);
   AdmissionInputs inputs;
   inputs.mMark = aPacket.mMark;
+  inputs.mScheduled = aScheduled;
   inputs.mRetransmission = aPacket.mAcknowledgement > 0;
   inputs.mReady = Ready(aNow);
   inputs.mServiceMatches = aPacket.mServiceTag == ServiceTag(mOptions.mService);
   inputs.mEvacuated = mReplica.Evacuated(mOptions.mDomain);
   inputs.mDraining = mRefusesNewFlows || mStatus.Draining();
   inputs.mUnresponsive = mBackendEnded;
-  inputs.mCold = mStatus.Cold(aNow);
   inputs.mLoad = mLoad;
   inputs.mSlots = mStatus.Slots();
   inputs.mFlows = static_cast<uint32_t>(mFlows.size());
@@ -231,11 +260,10 @@
     if (service->second.mMaxFlows > 0) {
       inputs.mMaxFlows = service->second.mMaxFlows;
     }
-    const double perSecond = service->second.mColdPerSecond;
-    inputs.mCold = inputs.mCold && perSecond > 0.0;
-    if (inputs.mCold) {
-      inputs.mColdBudget = mStatus.ColdBudget(perSecond, aNow);
-    }
+  }
+  if (const auto budget = ColdBudget(aNow)) {
+    inputs.mCold = true;
+    inputs.mColdBudget = *budget;
   }
   if (route != routes->mRoutes.end()) {
     inputs.mKind = route->second.mKind;
@@ -283,12 +311,29 @@
     Erase(found);
   }
   ReleaseHalfOpenLoad(aNow);
-  const Refusal refusal = CheckAdmission(aPacket, aNow);
+  const bool scheduled = IsScheduled(aPacket);
+  if (WaitingFlow* waiting = mScheduler.Queue().Find(tuple)) {
+    if (waiting->mCallerSequence == aPacket.mSequence && scheduled) {
+      OnWaitingSyn(*waiting, aBytes, aFrom, aNow);
+      return;
+    }
+    mScheduler.Queue().Remove(tuple);
+  }
+  const Refusal refusal = CheckAdmission(aPacket, scheduled, aNow);
   if (refusal != Refusal::None) {
-    SendOfferReply(aFrom, tuple, aPacket.mSequence, 0, refusal, aNow);
+    SendOfferReply({ aFrom, aPacket.mReadsWaits },
+                   tuple,
+                   aPacket.mSequence,
+                   0,
+                   refusal,
+                   aNow);
     ReportDecision(Verdict::TurnedAway, tuple, aFrom, refusal, {});
     return;
   }
+  if (scheduled) {
+    ScheduleFlow(aPacket, aBytes, aFrom, aNow);
+    return;
+  }
   AcceptFlow(aPacket, aBytes, aFrom, aNow);
 }
 
@@ -298,24 +343,34 @@
                           cluster::NodeIp aFrom,
                           Instant aNow)
 {
-  const FlowTuple tuple = CallerFlow(aPacket);
-  AgentFlow& flow = mFlows[tuple];
-  flow.mCallerSequence = aPacket.mSequence;
+  AddFlow(
+    CallerFlow(aPacket), aPacket.mSequence, aFrom, aPacket.mReadsWaits, aNow);
+  mOutput.SendToBackend(aBytes);
+}
+
+void
+FlowAgentCore::AddFlow(const FlowTuple& aTuple,
+                       uint32_t aCallerSequence,
+                       cluster::NodeIp aFrom,
+                       bool aEntryReadsWaits,
+                       Instant aNow)
+{
+  AgentFlow& flow = mFlows[aTuple];
+  flow.mCallerSequence = aCallerSequence;
   flow.mEntry = aFrom;
   flow.mNotifiedEntry = aFrom;
+  flow.mEntryReadsWaits = aEntryReadsWaits;
   flow.mOpenedAt = aNow;
   flow.mLastSeen = aNow;
   SetBusy(flow, true, aNow);
   mStatus.OnFlowAccepted(aNow);
-  mAwaitingSynAck.push_back(
-    { aNow + kSynAckTimeout, tuple, aPacket.mSequence });
+  mAwaitingSynAck.push_back({ aNow + kSynAckTimeout, aTuple, aCallerSequence });
   mHalfOpenLoad.push_back(
-    { aNow + kHalfOpenLoadTime, tuple, aPacket.mSequence });
-  mOutput.SendToBackend(aBytes);
+    { aNow + kHalfOpenLoadTime, aTuple, aCallerSequence });
 }
 
 void
-FlowAgentCore::SendOfferReply(cluster::NodeIp aTo,
+FlowAgentCore::SendOfferReply(const OfferSource& aTo,
                               const FlowTuple& aTuple,
                               uint32_t aCallerSequence,
                               uint32_t aBackendSequence,
@@ -331,7 +386,13 @@
   reply.mSlots =
     static_cast<uint16_t>(std::min<uint32_t>(mStatus.Slots(), UINT16_MAX));
   reply.mCold = mStatus.Cold(aNow);
-  mOutput.SendToNode(aTo, reply);
+  if (mScheduler.Active()) {
+    reply.mAnnouncesWaits = true;
+    if (aTo.mReadsWaits) {
+      reply.mWaits = mScheduler.Waits(CurrentLoad(), aNow);
+    }
+  }
+  mOutput.SendToNode(aTo.mEntry, reply);
 }
 
 void
@@ -430,6 +491,7 @@
   mUnansweredSyns = 0;
   mReturnsPackets = false;
   mBreaker = CircuitBreaker();
+  mScheduler.ResetCapacity();
   mLastResponseAtFullLoad.reset();
   mAwaitingSynAck.clear();
   mHalfOpenLoad.clear();
--- a/src/Flow/FlowAgentCoreBackend.cpp
+++ b/src/Flow/FlowAgentCoreBackend.cpp
@@ -36,6 +36,7 @@
 {
   if (aPacket.mReturned) {
     OnReturnedPacket(aPacket, aNow);
+    ForwardWaitingFlows(aNow);
     return;
   }
   mUnansweredSyns = 0;
@@ -57,6 +58,7 @@
     OnFlowPacket(tuple, found->second, aPacket, aNow);
   }
   mOutput.SendToCaller(aBytes, aPacket.mDestination);
+  ForwardWaitingFlows(aNow);
 }
 
 // A SYN-ACK, also a repeated one, says nothing about the owner of the flow: the
@@ -78,7 +80,7 @@
   if (aFlow.mEntry == cluster::NodeIp()) {
     return; // The entry instance that offered the flow is not known any more.
   }
-  SendOfferReply(aFlow.mEntry,
+  SendOfferReply({ aFlow.mEntry, aFlow.mEntryReadsWaits },
                  aTuple,
                  aFlow.mCallerSequence,
                  aPacket.mSequence,
@@ -114,6 +116,7 @@
   if (responds && aFlow.mBusy) {
     CountResult(aFlow, aPacket, aNow);
     UpdateServiceTime(aFlow, aNow);
+    UpdateCapacity(aTuple, aFlow, aNow);
     SetBusy(aFlow, false, aNow);
     if (mLoad >= mStatus.Slots()) {
       mLastResponseAtFullLoad = aNow;
@@ -158,6 +161,24 @@
   mServiceTime = (mServiceTime * 15 + sample) / 16;
 }
 
+// Unlike UpdateServiceTime(), leaves out the time in which the flow was opened,
+// since no slot is occupied then.
+void
+FlowAgentCore::UpdateCapacity(const FlowTuple& aTuple,
+                              const AgentFlow& aFlow,
+                              Instant aNow)
+{
+  if (!aFlow.mEstablished || aFlow.mRequestAt == Instant()) {
+    return;
+  }
+  if (mLoad <= mStatus.Slots()) {
+    mScheduler.Capacity().OnServed(aTuple.mService, aNow - aFlow.mRequestAt);
+  } else if (mLastResponseAtFullLoad) {
+    mScheduler.Capacity().OnServed(
+      aTuple.mService, (aNow - *mLastResponseAtFullLoad) * mStatus.Slots());
+  }
+}
+
 void
 FlowAgentCore::OnReturnedPacket(const Packet& aPacket, Instant aNow)
 {
@@ -171,8 +192,13 @@
     Erase(found);
     mUnansweredSyns = 0;
     mReturnsPackets = mReturnsPackets || mLoad < mStatus.Slots();
-    SendOfferReply(
-      flow.mEntry, tuple, aPacket.mSequence, 0, Refusal::Full, aNow);
+    mScheduler.Capacity().OnSynReturned(mLoad, mStatus.Slots(), aNow);
+    SendOfferReply({ flow.mEntry, flow.mEntryReadsWaits },
+                   tuple,
+                   aPacket.mSequence,
+                   0,
+                   Refusal::Full,
+                   aNow);
     ReportDecision(Verdict::TurnedAway,
                    tuple,
                    flow.mEntry,
@@ -206,10 +232,14 @@
 std::optional<Instant>
 FlowAgentCore::NextDeadline() const
 {
-  if (mAwaitingSynAck.empty()) {
-    return std::nullopt;
+  std::optional<Instant> next;
+  if (!mAwaitingSynAck.empty()) {
+    next = mAwaitingSynAck.front().mDeadline;
+  }
+  if (WaitingFlows() > 0 && (!next || mNextQueueCheck < *next)) {
+    next = mNextQueueCheck;
   }
-  return mAwaitingSynAck.front().mDeadline;
+  return next;
 }
 
 void
@@ -238,7 +268,7 @@
     }
     ++mUnansweredSyns;
     const AgentFlow& flow = found->second;
-    SendOfferReply(flow.mEntry,
+    SendOfferReply({ flow.mEntry, flow.mEntryReadsWaits },
                    pending.mFlow,
                    pending.mCallerSequence,
                    0,
@@ -252,6 +282,7 @@
                    "no-answer");
     SetBusy(found->second, false, aNow);
   }
+  ForwardWaitingFlows(aNow);
 }
 
 void
@@ -293,6 +324,7 @@
 FlowAgentCore::Expire(Instant aNow)
 {
   ReleaseHalfOpenLoad(aNow);
+  ForwardWaitingFlows(aNow);
   // The grace period of an evacuation starts also while no packet arrives.
   WithinEvacuationGrace(aNow);
   const Duration idle = mReplica.Routes()->mIdleTimeout;
