Flow: entry instances handle queued offers, and throttle overloaded services

Cause: an entry instance offers each flow of an overloaded service to up to five agents, again and again, and has no state for a SYN that an agent holds.

Change: an offer answered with Refusal::Queued has a state of its own, without a timeout, until the agent's second reply. A retransmitted SYN goes to the agent that holds the flow, and elsewhere when that agent doesn't reply. The final offer goes to the busy agent with the least expected wait when all have reported one. OverloadThrottle resets a share of the first SYNs while agents refuse most flows. All of it is limited to services to which routes with different priorities send new flows, and to the setting schedule-flows = yes.

The throttle counts flows when their outcome is known, so that a burst without replies yet is not taken for overload.

--- a/include/snipepost/Flow/Candidates.h
+++ b/include/snipepost/Flow/Candidates.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -11,6 +13,21 @@
 
 namespace snipepost::flow {
 
+/// The expected waits that an agent reported, in whole milliseconds. Kept
+/// small, since an entry instance may have thousands of agents.
+struct WaitReport
+{
+  struct Wait
+  {
+    uint16_t mMilliseconds = 0;
+    uint8_t mPriority = 0;
+  };
+
+  std::array<Wait, OfferReply::kMaxWaits> mWaits{};
+  uint8_t mCount = 0;
+  Instant mAt;
+};
+
 /// An entry instance's state of one agent. It comes only from messages between
 /// the two, since an agent that this instance can't reach may be reachable for
 /// another entry instance.
@@ -29,6 +46,11 @@
   /// No offer is made before this time unless no other candidate is left.
   Instant mAvoidUntil;
   Refusal mLastRefusal = Refusal::None;
+  /// Whether the last reply announced that the agent reads
+  /// Packet::mReadsWaits, and when it arrived.
+  bool mAnnouncedWaits = false;
+  Instant mRepliedAt;
+  WaitReport mWaits;
 };
 
 /// A backend server to which a new flow may be offered.
@@ -47,6 +69,21 @@
 double
 EstimatedLoad(const AgentView& aView, Instant aNow);
 
+/// Takes the announcement and the waits of a reply into aView.
+void
+UpdateWaits(AgentView& aView, const OfferReply& aReply, Instant aNow);
+
+/// True when the agent reads Packet::mReadsWaits. An announcement is forgotten
+/// 10 s after the last reply, as the agent may have been replaced by one of the
+/// previous version.
+bool
+ReadsWaits(const AgentView& aView, Instant aNow);
+
+/// The wait that the agent reported for a priority, less the age of the report;
+/// nothing when there is no report, or it is older than 500 ms.
+std::optional<Duration>
+ExpectedWait(const AgentView& aView, uint32_t aPriority, Instant aNow);
+
 /// Index of the best candidate in aCandidates: reachable ones first, then by
 /// expected wait, which includes the network path and the slower service of a
 /// cold backend server. Nothing when aCandidates is empty.
--- a/include/snipepost/Flow/Decision.h
+++ b/include/snipepost/Flow/Decision.h
@@ -15,6 +15,8 @@
   Offered,
   /// Entry: an agent accepted the flow.
   Placed,
+  /// Entry: an agent holds the SYN until its backend server has capacity.
+  Queued,
   /// Entry: an agent refused the flow.
   Refused,
   /// Entry: an agent did not reply to an offer in time.
--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -10,10 +10,12 @@
 #include <vector>
 
 #include <snipepost/Admission/RetryBudget.h>
+#include <snipepost/Base/Random.h>
 #include <snipepost/Base/Types.h>
 #include <snipepost/Cluster/Replica.h>
 #include <snipepost/Flow/CandidateTable.h>
 #include <snipepost/Flow/Decision.h>
+#include <snipepost/Flow/OverloadThrottle.h>
 #include <snipepost/Flow/Packet.h>
 
 namespace snipepost::flow {
@@ -41,6 +43,11 @@
   std::string mDomain;
   /// Maximum lifetime of a flow.
   Duration mFlowLimit = std::chrono::seconds(60);
+  /// Agents may hold SYNs, and new flows are throttled during overload, for
+  /// services whose routes have different priorities.
+  bool mScheduleFlows = true;
+  /// Seed of the random numbers that decide which flows are throttled.
+  uint64_t mSeed = 1;
 };
 
 /// The decisions of an entry instance. A SYN is offered to one agent after
@@ -106,6 +113,8 @@
   enum class OfferState
   {
     Pending,
+    /// The agent holds the SYN and will accept or refuse it in another reply.
+    Queued,
     TimedOut,
     Accepted,
     Refused,
@@ -160,6 +169,9 @@
     /// The SYN was rejected here. The flow may be open all the same: another
     /// entry instance may have placed an earlier copy of the SYN.
     bool mRejected = false;
+    /// Counted by the throttle of the flow's service.
+    bool mCountedRequest = false;
+    bool mCountedAccepted = false;
     /// Every possible owner has excluded itself.
     bool mOwnerEnded = false;
     bool mClosing = false;
@@ -179,18 +191,31 @@
                            EntryFlow& aFlow,
                            Instant aNow);
   void OnUnknownRoute(const FlowTuple& aTuple, const Packet& aPacket);
+  /// Makes the first offer of a flow, unless the flow is throttled.
+  void StartPlacement(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
+  /// Sends a retransmitted SYN to the agent that holds the flow. False when no
+  /// agent does.
+  bool ForwardToQueue(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
+  static bool HasQueuedOffer(const EntryFlow& aFlow);
   void MakeOffer(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
   void SendOffer(const FlowTuple& aTuple,
                  EntryFlow& aFlow,
                  const Candidate& aCandidate,
                  TransitMark aMark,
                  Instant aNow);
-  /// Makes the final offer to the least loaded of the agents that refused an
-  /// earlier one as busy. False when there is none.
+  /// Makes the final offer to the best of the agents that refused an earlier
+  /// one as busy. False when there is none.
   bool OfferToBusyAgent(const FlowTuple& aTuple,
                         EntryFlow& aFlow,
                         const std::string& aService,
                         Instant aNow);
+  /// The offer to a busy agent with the least expected wait for the priority of
+  /// the flow if all of them have reported one, otherwise with the least load;
+  /// null when there is none.
+  const Offer* BestBusyOffer(const FlowTuple& aTuple,
+                             const EntryFlow& aFlow,
+                             const std::string& aService,
+                             Instant aNow) const;
   /// Offers the SYNs that arrived before the shared state.
   void OfferDeferredFlows(Instant aNow);
   void FailPlacement(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
@@ -266,6 +291,33 @@
   Duration ReplyTimeout(const Candidate& aCandidate) const;
   Offer* FindOffer(EntryFlow& aFlow, cluster::NodeIp aAgent);
   void UpdateView(AgentView& aView, const OfferReply& aReply, Instant aNow);
+  void OnAccepted(const OfferReply& aReply,
+                  EntryFlow& aFlow,
+                  Offer& aOffer,
+                  Instant aNow);
+  void OnQueued(const OfferReply& aReply,
+                EntryFlow& aFlow,
+                Offer& aOffer,
+                Instant aNow);
+  void OnRefused(const OfferReply& aReply,
+                 EntryFlow& aFlow,
+                 Offer& aOffer,
+                 Instant aNow);
+  /// Handles an offer whose reply did not arrive in time.
+  void OnReplyTimeout(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
+  /// Determines the services whose flows are scheduled.
+  void UpdateThrottles();
+  /// True when the flows of the service are scheduled by priority.
+  bool IsScheduled(const std::string& aService) const
+  {
+    return mThrottles.contains(aService);
+  }
+  /// Counts the flow in the throttle of its service, once as a request and once
+  /// as accepted.
+  void CountOutcome(const FlowTuple& aTuple,
+                    EntryFlow& aFlow,
+                    bool aAccepted,
+                    Instant aNow);
   void RebuildTables(Instant aNow);
   bool IsExpired(const EntryFlow& aFlow, Instant aNow) const;
   void ReportDecision(Verdict aVerdict,
@@ -289,6 +341,10 @@
   std::unordered_map<Address, cluster::Route> mRemovedRoutes;
   /// By service.
   std::map<std::string, CandidateTable> mTables;
+  /// By service, for the services whose flows are scheduled: those to which
+  /// routes with different priorities send new flows.
+  std::map<std::string, OverloadThrottle> mThrottles;
+  Random mRandom;
   /// Time from which each record has been known, by name.
   std::unordered_map<std::string, Instant> mKnownSince;
   std::unordered_map<Address, AgentView> mViews;
--- /dev/null
+++ b/include/snipepost/Flow/OverloadThrottle.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include <snipepost/Base/Types.h>
+
+namespace snipepost::flow {
+
+/// Refuses a share of the new flows of one service at an entry instance while
+/// the agents refuse most of them, so that offers without an acceptance stay in
+/// proportion to the acceptances (adaptive throttling, Beyer et al., Site
+/// Reliability Engineering, 2016). Does no I/O; the time is an argument.
+///
+/// Flows are counted when their outcome is known, not when they arrive: a burst
+/// of new flows whose offers are not answered yet is no sign of overload.
+class OverloadThrottle
+{
+public:
+  /// Counts a flow that agents accepted or refused, once a flow.
+  void OnRequest(uint32_t aPriority, Instant aNow);
+  /// Counts a flow that an agent accepted or queued, once a flow and after its
+  /// OnRequest().
+  void OnAccepted(uint32_t aPriority, Instant aNow);
+  /// Counts a flow that was reset because Refuses() returned true.
+  void OnThrottled(uint32_t aPriority, Instant aNow);
+
+  /// True when a new flow is to be reset. aRandom is uniform in [0, 1). Always
+  /// false when no agent's decision was counted in the last second, and for
+  /// priorities more urgent than one that was accepted in the last second.
+  bool Refuses(uint32_t aPriority, double aRandom, Instant aNow) const;
+
+private:
+  /// A count that decays exponentially.
+  class Count
+  {
+  public:
+    void Increment(Instant aNow);
+    double At(Instant aNow) const;
+    /// True when there was an increment in the last second.
+    bool IsRecent(Instant aNow) const;
+
+  private:
+    double mValue = 0.0;
+    Instant mValueAt;
+  };
+
+  struct Counts
+  {
+    /// Flows whose outcome agents decided.
+    Count mDecided;
+    Count mAccepted;
+    Count mThrottled;
+  };
+
+  /// Factor by which the share of throttled flows falls when fewer than half of
+  /// the decided flows were refused, or hardly any flow was decided. Without it
+  /// an instance that is left without acceptances during an overload, and so
+  /// offers only a flow every 200 ms, still throttles flows more than a second
+  /// after the end of the overload.
+  static double RefusedShare(const Counts& aCounts, Instant aNow);
+  bool AcceptsLessUrgent(uint32_t aPriority, Instant aNow) const;
+
+  /// By priority; 0 is the most urgent.
+  std::map<uint32_t, Counts> mCounts;
+};
+
+} // namespace snipepost::flow
--- a/src/Flow/Candidates.cpp
+++ b/src/Flow/Candidates.cpp
@@ -16,6 +16,9 @@
 constexpr double kColdFactor = 1.6;     // Requests take longer after a start.
 constexpr double kAvoidPenalty = 1e3;
 
+constexpr Duration kAnnouncementAge = std::chrono::seconds(10);
+constexpr Duration kWaitReportAge = std::chrono::milliseconds(500);
+
 double
 Cost(const Candidate& aCandidate, Instant aNow)
 {
@@ -46,6 +49,56 @@
   return aView.mLoad * std::exp(-std::max(0.0, age) / kLoadDecaySeconds);
 }
 
+void
+UpdateWaits(AgentView& aView, const OfferReply& aReply, Instant aNow)
+{
+  aView.mAnnouncedWaits = aReply.mAnnouncesWaits;
+  aView.mRepliedAt = aNow;
+  if (aReply.mWaits.empty()) {
+    return;
+  }
+  WaitReport& report = aView.mWaits;
+  report.mAt = aNow;
+  report.mCount = 0;
+  for (const ReportedWait& wait : aReply.mWaits) {
+    if (report.mCount == report.mWaits.size()) {
+      break;
+    }
+    const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait.mWait).count();
+    report.mWaits.at(report.mCount++) = {
+      static_cast<uint16_t>(std::clamp<int64_t>(milliseconds, 0, UINT16_MAX)),
+      wait.mPriority
+    };
+  }
+}
+
+bool
+ReadsWaits(const AgentView& aView, Instant aNow)
+{
+  return aView.mAnnouncedWaits && aNow - aView.mRepliedAt <= kAnnouncementAge;
+}
+
+std::optional<Duration>
+ExpectedWait(const AgentView& aView, uint32_t aPriority, Instant aNow)
+{
+  const WaitReport& report = aView.mWaits;
+  const Duration age = aNow - report.mAt;
+  if (age > kWaitReportAge) {
+    return std::nullopt;
+  }
+  // A service with more priorities than a report holds has no entry for the
+  // least urgent ones: these wait at least as long as the last reported one.
+  std::optional<Duration> wait;
+  for (uint8_t i = 0; i < report.mCount; ++i) {
+    if (report.mWaits.at(i).mPriority <= aPriority) {
+      wait = std::chrono::milliseconds(report.mWaits.at(i).mMilliseconds);
+    }
+  }
+  return wait ? std::optional(std::max(Duration::zero(), *wait - age))
+              : std::nullopt;
+}
+
 std::optional<size_t>
 BestCandidate(const std::vector<Candidate>& aCandidates, Instant aNow)
 {
--- a/src/Flow/Decision.cpp
+++ b/src/Flow/Decision.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr std::array kVerdictNames = {
-  "offered",  "placed",  "refused", "unanswered",  "rejected", "dropped",
-  "locating", "located", "opened",  "turned-away", "ended",    "not-owned",
+  "offered",     "placed",  "queued",    "refused", "unanswered",
+  "rejected",    "dropped", "locating",  "located", "opened",
+  "turned-away", "ended",   "not-owned",
 };
 
 } // namespace
--- a/src/Flow/FlowEntryCore.cpp
+++ b/src/Flow/FlowEntryCore.cpp
@@ -38,8 +38,10 @@
   , mOutput(aOutput)
   , mDecisions(aDecisions)
   , mRoutes(aReplica.Routes())
+  , mRandom(mOptions.mSeed)
   , mRetryBudget(kOfferRetries)
 {
+  UpdateThrottles();
   RebuildTables(aStart);
 }
 
@@ -105,7 +107,7 @@
     mDeferredFlows.push_back(tuple);
     return;
   }
-  MakeOffer(tuple, flow, aNow);
+  StartPlacement(tuple, flow, aNow);
 }
 
 void
@@ -133,6 +135,9 @@
       return;
     }
   }
+  if (ForwardToQueue(aTuple, aFlow, aNow)) {
+    return;
+  }
   // The retransmission follows after 200 ms or more: refusals of the previous
   // SYN are outdated, and an agent that did not reply may have restarted.
   aFlow.mOffers.clear();
@@ -194,7 +199,7 @@
       mFlows.erase(found);
       continue;
     }
-    MakeOffer(tuple, found->second, aNow);
+    StartPlacement(tuple, found->second, aNow);
   }
 }
 
@@ -212,6 +217,7 @@
     std::erase_if(mRemovedRoutes, [this](const auto& aRemoved) {
       return mRoutes->mRoutes.contains(aRemoved.first);
     });
+    UpdateThrottles();
   }
   RebuildTables(aNow);
   if (mReplica.Complete()) {
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -1,5 +1,4 @@
-// Choice of the agents that an entry instance offers a flow to, and handling of
-// their replies.
+// Choice of the agents that an entry instance offers a flow to.
 
 #include <snipepost/Flow/FlowEntryCore.h>
 
@@ -29,19 +28,6 @@
 
 constexpr Duration kMaxReplyTimeout = std::chrono::milliseconds(80);
 
-/// Consecutive offers without a reply after which an agent is avoided.
-constexpr uint32_t kUnansweredLimit = 2;
-
-/// Time and number of offers without a reply after which an agent is considered
-/// crashed. Network partitions and restarts end within 12 s.
-constexpr Duration kDeadAfter = std::chrono::seconds(25);
-constexpr uint32_t kDeadOffers = 6;
-
-/// Time for which an agent that does not reply is avoided, doubled with each
-/// further unanswered offer.
-constexpr Duration kInitialAvoidTime = std::chrono::milliseconds(100);
-constexpr Duration kMaxAvoidTime = std::chrono::seconds(1);
-
 /// An overload up to this age is considered a short load spike. After an
 /// outage, the requests of about 1.5 s arrive at the same time. SYN
 /// retransmissions spread them over 600 ms; resets would use up the callers'
@@ -55,32 +41,6 @@
 /// Number of a caller's last SYN retransmission.
 constexpr uint32_t kLastRetransmission = 2;
 
-/// Time for which an agent that refused is avoided while other candidates are
-/// left.
-Duration
-AvoidTime(Refusal aRefusal)
-{
-  switch (aRefusal) {
-    case Refusal::Full:
-      return std::chrono::milliseconds(30);
-    case Refusal::Cold:
-      return std::chrono::milliseconds(100);
-    case Refusal::NotReady:
-    case Refusal::Silent:
-    case Refusal::Failing:
-      return std::chrono::milliseconds(150);
-    case Refusal::Draining:
-    case Refusal::Evacuated:
-    case Refusal::WrongService:
-      return std::chrono::milliseconds(500);
-    case Refusal::None:
-    case Refusal::Busy:
-    case Refusal::Queued:
-      break;
-  }
-  return Duration::zero();
-}
-
 /// True when a retransmission of the SYN some 100 ms later may be accepted.
 bool
 IsTransient(Refusal aRefusal)
@@ -135,8 +95,7 @@
   const std::string& service = ServiceOf(route->second, aTuple);
   const auto candidates = EligibleCandidates(aTuple, aFlow, service);
   const size_t made = aFlow.mOffers.size();
-  // Enough agents were busy: the least loaded of them is offered the flow for
-  // queueing.
+  // Enough agents were busy: the best of them is offered the flow for queueing.
   if (made >= kFreeSlotOffers &&
       OfferToBusyAgent(aTuple, aFlow, service, aNow)) {
     return;
@@ -163,19 +122,11 @@
                                 const std::string& aService,
                                 Instant aNow)
 {
-  Offer* leastLoaded = nullptr;
-  for (Offer& offer : aFlow.mOffers) {
-    const bool busy = offer.mState == OfferState::Refused &&
-                      offer.mRefusal == Refusal::Busy &&
-                      offer.mMark != TransitMark::OfferFinal;
-    if (busy && (!leastLoaded || offer.mLoad < leastLoaded->mLoad)) {
-      leastLoaded = &offer;
-    }
-  }
-  if (!leastLoaded) {
+  const Offer* best = BestBusyOffer(aTuple, aFlow, aService, aNow);
+  if (!best) {
     return false;
   }
-  const Address agent = leastLoaded->mAgent;
+  const Address agent = best->mAgent;
   const auto record = mReplica.Backends().find(cluster::RecordName(agent));
   if (record == mReplica.Backends().end() ||
       record->second.mService != aService) {
@@ -211,11 +162,12 @@
   aFlow.mOffers.push_back(
     { agent, aNow, OfferState::Pending, Refusal::None, aMark, 0, 0.0 });
   SetDeadline(aTuple, aFlow, aNow + ReplyTimeout(aCandidate));
+  const std::string& service = aCandidate.mRecord->mService;
   mOutput.SendToAgent(aFlow.mSynBytes,
                       agent,
-                      ServiceTag(aCandidate.mRecord->mService),
+                      ServiceTag(service),
                       aMark,
-                      false);
+                      IsScheduled(service) && ReadsWaits(view, aNow));
   ReportDecision(
     Verdict::Offered, aTuple, aFlow, agent, Refusal::None, {}, aNow);
   view.mLoad = EstimatedLoad(view, aNow) + 1.0;
@@ -230,6 +182,7 @@
   const bool mayStillBeAccepted =
     std::ranges::any_of(aFlow.mOffers, [](const Offer& aOffer) {
       return aOffer.mState == OfferState::Pending ||
+             aOffer.mState == OfferState::Queued ||
              aOffer.mState == OfferState::TimedOut ||
              aOffer.mState == OfferState::Accepted ||
              IsTransient(aOffer.mRefusal);
@@ -248,6 +201,9 @@
     std::ranges::any_of(aFlow.mOffers, [](const Offer& aOffer) {
       return aOffer.mRefusal == Refusal::Full;
     });
+  if (overloaded) {
+    CountOutcome(aTuple, aFlow, false, aNow);
+  }
   if (overloaded && ExpectsRetransmission(aFlow, aNow)) {
     ReportDecision(Verdict::Dropped,
                    aTuple,
@@ -288,172 +244,4 @@
   ReportDecision(Verdict::Rejected, aTuple, aFlow, {}, last, aReason, aNow);
 }
 
-FlowEntryCore::Offer*
-FlowEntryCore::FindOffer(EntryFlow& aFlow, cluster::NodeIp aAgent)
-{
-  const auto found =
-    std::ranges::find(aFlow.mOffers, aAgent.Value(), [](const Offer& aOffer) {
-      return aOffer.mAgent.mIp;
-    });
-  return found == aFlow.mOffers.end() ? nullptr : &*found;
-}
-
-void
-FlowEntryCore::UpdateView(AgentView& aView,
-                          const OfferReply& aReply,
-                          Instant aNow)
-{
-  aView.mLoad = aReply.mLoad;
-  aView.mLoadAt = aNow;
-  aView.mCold = aReply.mCold;
-  aView.mUnansweredOffers = 0;
-  aView.mLastRefusal = aReply.mRefusal;
-  aView.mAvoidUntil = aNow + AvoidTime(aReply.mRefusal);
-}
-
-void
-FlowEntryCore::OnOfferReply(cluster::NodeIp aFrom,
-                            const OfferReply& aReply,
-                            Instant aNow)
-{
-  const auto found = mFlows.find(aReply.mFlow);
-  if (found == mFlows.end() ||
-      found->second.mCallerSequence != aReply.mCallerSequence) {
-    return;
-  }
-  EntryFlow& flow = found->second;
-  Offer* offer = FindOffer(flow, aFrom);
-  if (!offer || offer->mState == OfferState::Accepted) {
-    return;
-  }
-  AgentView& view = mViews[offer->mAgent];
-  UpdateView(view, aReply, aNow);
-  const Duration replyTime = aNow - offer->mSentAt;
-  view.mReplyTime = view.mReplyTime == Duration::zero()
-                      ? replyTime
-                      : (view.mReplyTime * 7 + replyTime) / 8;
-  offer->mLoad = aReply.mLoad;
-  offer->mRefusal = aReply.mRefusal;
-  const bool wasPending = offer->mState == OfferState::Pending;
-  if (aReply.mRefusal == Refusal::None) {
-    offer->mState = OfferState::Accepted;
-    offer->mBackendSequence = aReply.mBackendSequence;
-    if (!flow.mOwner) {
-      flow.mOwner = offer->mAgent;
-    }
-    SetDeadline(aReply.mFlow, flow, std::nullopt);
-    ReportDecision(Verdict::Placed,
-                   aReply.mFlow,
-                   flow,
-                   offer->mAgent,
-                   Refusal::None,
-                   {},
-                   aNow);
-    return;
-  }
-  offer->mState = OfferState::Refused;
-  ReportDecision(Verdict::Refused,
-                 aReply.mFlow,
-                 flow,
-                 offer->mAgent,
-                 aReply.mRefusal,
-                 {},
-                 aNow);
-  if (wasPending && !flow.mOwner && !flow.mRejected) {
-    MakeOffer(aReply.mFlow, flow, aNow);
-  }
-}
-
-void
-FlowEntryCore::SetDeadline(const FlowTuple& aTuple,
-                           EntryFlow& aFlow,
-                           std::optional<Instant> aDeadline)
-{
-  if (aFlow.mDeadline) {
-    mDeadlines.erase({ *aFlow.mDeadline, aTuple });
-  }
-  aFlow.mDeadline = aDeadline;
-  if (aDeadline) {
-    mDeadlines.emplace(*aDeadline, aTuple);
-  }
-}
-
-std::optional<Instant>
-FlowEntryCore::NextDeadline() const
-{
-  if (mDeadlines.empty()) {
-    return std::nullopt;
-  }
-  return mDeadlines.begin()->first;
-}
-
-void
-FlowEntryCore::OnTimer(Instant aNow)
-{
-  while (!mDeadlines.empty() && mDeadlines.begin()->first <= aNow) {
-    const FlowTuple tuple = mDeadlines.begin()->second;
-    mDeadlines.erase(mDeadlines.begin());
-    const auto found = mFlows.find(tuple);
-    // After the process was frozen, the flow may have expired, and a later
-    // packet may have added it again.
-    if (found == mFlows.end()) {
-      continue;
-    }
-    found->second.mDeadline.reset();
-    EntryFlow& flow = found->second;
-    if (flow.mOffers.empty()) {
-      if (!flow.mLookup.mPacketBytes.empty()) {
-        ResumeLookup(tuple, flow, aNow);
-      }
-      continue;
-    }
-    Offer& offer = flow.mOffers.back();
-    offer.mState = OfferState::TimedOut;
-    AgentView& view = mViews[offer.mAgent];
-    CountUnanswered(view, offer.mSentAt);
-    if (view.mUnansweredOffers >= kUnansweredLimit) {
-      const uint32_t doublings =
-        std::min(view.mUnansweredOffers - kUnansweredLimit, 4U);
-      view.mAvoidUntil =
-        aNow + std::min(kInitialAvoidTime * (1U << doublings), kMaxAvoidTime);
-    }
-    ReportDecision(
-      Verdict::Unanswered, tuple, flow, offer.mAgent, Refusal::None, {}, aNow);
-    if (mRetryBudget.TryRetry()) {
-      MakeOffer(tuple, flow, aNow);
-    }
-  }
-}
-
-void
-FlowEntryCore::CountUnanswered(AgentView& aView, Instant aSentAt)
-{
-  if (aView.mUnansweredOffers == 0) {
-    aView.mUnansweredSince = aSentAt;
-  }
-  ++aView.mUnansweredOffers;
-}
-
-std::vector<std::string>
-FlowEntryCore::DeadRecords(Instant aNow) const
-{
-  std::vector<std::string> names;
-  for (const auto& [agent, view] : mViews) {
-    if (view.mUnansweredOffers >= kDeadOffers &&
-        aNow - view.mUnansweredSince > kDeadAfter) {
-      names.push_back(cluster::RecordName(agent));
-    }
-  }
-  return names;
-}
-
-size_t
-FlowEntryCore::AvoidedAgents(Instant aNow) const
-{
-  return static_cast<size_t>(
-    std::ranges::count_if(mViews, [aNow](const auto& aView) {
-      return aNow < aView.second.mAvoidUntil;
-    }));
-}
-
 } // namespace snipepost::flow
--- /dev/null
+++ b/src/Flow/FlowEntryCoreScheduling.cpp
@@ -0,0 +1,170 @@
+// Flows of services that are scheduled by priority: SYNs that agents hold, the
+// choice by expected wait, and the throttle.
+
+#include <snipepost/Flow/FlowEntryCore.h>
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace snipepost::flow {
+
+void
+FlowEntryCore::UpdateThrottles()
+{
+  std::map<std::string, std::set<uint32_t>> priorities;
+  for (const auto& [address, route] : mRoutes->mRoutes) {
+    for (const cluster::WeightedService& share : route.mServices) {
+      if (share.mWeight > 0) {
+        priorities[share.mService].insert(route.mPriority);
+      }
+    }
+  }
+  const auto isScheduled = [&](const std::string& aService) {
+    const auto found = priorities.find(aService);
+    return mOptions.mScheduleFlows && found != priorities.end() &&
+           found->second.size() > 1;
+  };
+  std::erase_if(mThrottles, [&](const auto& aThrottle) {
+    return !isScheduled(aThrottle.first);
+  });
+  for (const auto& [service, values] : priorities) {
+    if (isScheduled(service)) {
+      mThrottles.try_emplace(service);
+    }
+  }
+}
+
+void
+FlowEntryCore::StartPlacement(const FlowTuple& aTuple,
+                              EntryFlow& aFlow,
+                              Instant aNow)
+{
+  const auto route = mRoutes->mRoutes.find(aTuple.mService);
+  // An agent may hold an earlier copy of a retransmitted SYN, which another
+  // entry instance offered to it.
+  if (route != mRoutes->mRoutes.end() &&
+      aFlow.mSynPacket.mAcknowledgement == 0) {
+    const uint32_t priority = route->second.mPriority;
+    const auto throttle = mThrottles.find(ServiceOf(route->second, aTuple));
+    if (throttle != mThrottles.end() &&
+        throttle->second.Refuses(priority, mRandom.Fraction(), aNow)) {
+      throttle->second.OnThrottled(priority, aNow);
+      Reject(aTuple, aFlow, "overloaded", aNow);
+      return;
+    }
+  }
+  MakeOffer(aTuple, aFlow, aNow);
+}
+
+void
+FlowEntryCore::CountOutcome(const FlowTuple& aTuple,
+                            EntryFlow& aFlow,
+                            bool aAccepted,
+                            Instant aNow)
+{
+  const auto route = mRoutes->mRoutes.find(aTuple.mService);
+  if (mThrottles.empty() || route == mRoutes->mRoutes.end()) {
+    return;
+  }
+  const auto throttle = mThrottles.find(ServiceOf(route->second, aTuple));
+  if (throttle == mThrottles.end()) {
+    return;
+  }
+  const uint32_t priority = route->second.mPriority;
+  if (!aFlow.mCountedRequest) {
+    aFlow.mCountedRequest = true;
+    throttle->second.OnRequest(priority, aNow);
+  }
+  if (aAccepted && !aFlow.mCountedAccepted) {
+    aFlow.mCountedAccepted = true;
+    throttle->second.OnAccepted(priority, aNow);
+  }
+}
+
+bool
+FlowEntryCore::HasQueuedOffer(const EntryFlow& aFlow)
+{
+  return std::ranges::find(aFlow.mOffers, OfferState::Queued, &Offer::mState) !=
+         aFlow.mOffers.end();
+}
+
+bool
+FlowEntryCore::ForwardToQueue(const FlowTuple& aTuple,
+                              EntryFlow& aFlow,
+                              Instant aNow)
+{
+  const auto held =
+    std::ranges::find(aFlow.mOffers, OfferState::Queued, &Offer::mState);
+  if (held == aFlow.mOffers.end()) {
+    return false;
+  }
+  const auto record =
+    mReplica.Backends().find(cluster::RecordName(held->mAgent));
+  if (record == mReplica.Backends().end()) {
+    return false;
+  }
+  Offer offer = *held;
+  offer.mState = OfferState::Pending;
+  offer.mRefusal = Refusal::None;
+  offer.mSentAt = aNow;
+  // Refusals of the previous SYN are outdated. When a second agent holds the
+  // flow, too, its reply is still handled, but not waited for.
+  aFlow.mOffers.erase(held);
+  std::erase_if(aFlow.mOffers, [](const Offer& aOther) {
+    return aOther.mState != OfferState::Queued;
+  });
+  for (Offer& other : aFlow.mOffers) {
+    other.mState = OfferState::TimedOut;
+  }
+  aFlow.mOffers.push_back(offer);
+  const bool isLocal = record->second.mDomain == mOptions.mDomain;
+  const AgentView& view = mViews[offer.mAgent];
+  SetDeadline(
+    aTuple, aFlow, aNow + ReplyTimeout({ &record->second, &view, isLocal, 0 }));
+  const std::string& service = record->second.mService;
+  mOutput.SendToAgent(aFlow.mSynBytes,
+                      offer.mAgent,
+                      ServiceTag(service),
+                      offer.mMark,
+                      IsScheduled(service) && ReadsWaits(view, aNow));
+  return true;
+}
+
+const FlowEntryCore::Offer*
+FlowEntryCore::BestBusyOffer(const FlowTuple& aTuple,
+                             const EntryFlow& aFlow,
+                             const std::string& aService,
+                             Instant aNow) const
+{
+  const auto route = mRoutes->mRoutes.find(aTuple.mService);
+  const bool isScheduled =
+    route != mRoutes->mRoutes.end() && IsScheduled(aService);
+  const Offer* leastLoaded = nullptr;
+  const Offer* leastWait = nullptr;
+  Duration shortest = Duration::max();
+  bool allReported = isScheduled;
+  for (const Offer& offer : aFlow.mOffers) {
+    if (offer.mState != OfferState::Refused ||
+        offer.mRefusal != Refusal::Busy ||
+        offer.mMark == TransitMark::OfferFinal) {
+      continue;
+    }
+    if (!leastLoaded || offer.mLoad < leastLoaded->mLoad) {
+      leastLoaded = &offer;
+    }
+    const auto view = mViews.find(offer.mAgent);
+    const auto wait =
+      allReported && view != mViews.end()
+        ? ExpectedWait(view->second, route->second.mPriority, aNow)
+        : std::nullopt;
+    allReported = wait.has_value();
+    if (wait && *wait < shortest) {
+      leastWait = &offer;
+      shortest = *wait;
+    }
+  }
+  return allReported ? leastWait : leastLoaded;
+}
+
+} // namespace snipepost::flow
--- a/src/FlowCtl/Explanation.cpp
+++ b/src/FlowCtl/Explanation.cpp
@@ -133,12 +133,30 @@
                      line->Field("elapsed_ms") + " ms, with configuration " +
                      line->Field("config") +
                      ". Refusals: " + aLog.RefusalCounts() + '.';
+  if (aLog.Has("queued")) {
+    text += " An agent held the SYN until there was capacity.";
+  }
   if (aLog.Has("unanswered")) {
     text += " No reply from " + aLog.UnresponsivePeers() + '.';
   }
   return text;
 }
 
+std::optional<std::string>
+ExplainQueued(const FlowLog& aLog)
+{
+  const LogLine* line = aLog.Last("queued");
+  if (!line) {
+    return std::nullopt;
+  }
+  return "The agent " + line->Field("peer") + " held the SYN after " +
+         line->Field("elapsed_ms") +
+         " ms, but no instance logged whether it was accepted or refused "
+         "later: the caller abandoned the attempt, the agent ended, or the "
+         "reply was lost. Refusals: " +
+         aLog.RefusalCounts() + '.';
+}
+
 std::optional<std::string>
 ExplainDropped(const FlowLog& aLog)
 {
@@ -155,8 +173,8 @@
 
 /// In order of precedence: the first that applies explains the flow.
 constexpr std::array kExplainers = {
-  &ExplainEnded,     &ExplainRejected, &ExplainLostOwner,
-  &ExplainLostReply, &ExplainPlaced,   &ExplainDropped,
+  &ExplainEnded,  &ExplainRejected, &ExplainLostOwner, &ExplainLostReply,
+  &ExplainPlaced, &ExplainDropped,  &ExplainQueued,
 };
 
 std::string
--- a/src/FlowDaemon/EntryNode.cpp
+++ b/src/FlowDaemon/EntryNode.cpp
@@ -15,11 +15,22 @@
 /// watch the store do so.
 constexpr Duration kRemovalInterval = std::chrono::seconds(2);
 
+flow::EntryOptions
+CoreOptions(const NodeSettings& aSettings)
+{
+  flow::EntryOptions options;
+  options.mDomain = aSettings.mDomain;
+  options.mFlowLimit = aSettings.mFlowLimit;
+  options.mScheduleFlows = aSettings.mScheduleFlows == FlowScheduling::On;
+  options.mSeed = aSettings.Identity().mIp;
+  return options;
+}
+
 } // namespace
 
 EntryNode::EntryNode(asio::io_context& aContext, Node& aNode)
   : mNode(aNode)
-  , mCore({ aNode.Settings().mDomain, aNode.Settings().mFlowLimit },
+  , mCore(CoreOptions(aNode.Settings()),
           aNode.State(),
           *this,
           aNode,
--- a/src/FlowDaemon/NodeMetrics.h
+++ b/src/FlowDaemon/NodeMetrics.h
@@ -41,7 +41,7 @@
   Gauge& mLogLinesDropped;
 
 private:
-  static constexpr size_t kVerdicts = 12;
+  static constexpr size_t kVerdicts = 13;
 
   std::array<Counter*, kVerdicts> mDecisions{};
   LatencyHistogram& mPlacement;
--- a/src/FlowDaemon/NodeSettings.cpp
+++ b/src/FlowDaemon/NodeSettings.cpp
@@ -19,6 +19,16 @@
 
 } // namespace cluster
 
+std::string
+Value(const std::string& aText, FlowScheduling& aOut)
+{
+  if (aText != "yes" && aText != "no") {
+    return "expected yes or no";
+  }
+  aOut = aText == "yes" ? FlowScheduling::On : FlowScheduling::Off;
+  return {};
+}
+
 namespace {
 
 Schema<NodeSettings>
@@ -80,6 +90,12 @@
          "Time for which a stopping entry instance still forwards packets, so "
          "that the routers can detect that it is not ready; longest time that "
          "a stopping agent waits for its flows to end, milliseconds")
+    .Add("schedule-flows",
+         &S::mScheduleFlows,
+         "yes",
+         "Whether, during overload, new flows of services whose routes have "
+         "different priorities wait at agents in the order of priority, and "
+         "are throttled at entry instances: yes or no")
     .Add("log-rate",
          &S::mLogRate,
          "200",
--- a/src/FlowDaemon/NodeSettings.h
+++ b/src/FlowDaemon/NodeSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -11,6 +12,18 @@
 
 namespace snipepost {
 
+/// Whether flows of services whose routes have different priorities are
+/// scheduled by priority.
+enum class FlowScheduling : uint8_t
+{
+  Off,
+  On,
+};
+
+/// Parses "yes" or "no".
+std::string
+Value(const std::string& aText, FlowScheduling& aOut);
+
 /// Settings of snipepost-flowd.
 struct NodeSettings
 {
@@ -44,6 +57,7 @@
   /// How long a stopping entry instance continues to forward packets, and a
   /// stopping agent waits at most for its flows to end.
   std::chrono::milliseconds mStopDelay{};
+  FlowScheduling mScheduleFlows = FlowScheduling::On;
   /// Log lines a second; further lines are dropped and counted.
   uint64_t mLogRate = 0;
 
--- a/tests/FlowCtl/ExplanationTest.cpp
+++ b/tests/FlowCtl/ExplanationTest.cpp
@@ -54,6 +54,10 @@
                       "the reply was lost"));
   BOOST_TEST(Contains(SummaryOf("unanswered peer=a\nplaced peer=b offers=2"),
                       "No reply from a"));
+  BOOST_TEST(
+    Contains(SummaryOf("queued peer=q elapsed_ms=1"), "agent q held the SYN"));
+  BOOST_TEST(Contains(SummaryOf("queued peer=q\nplaced peer=q offers=3"),
+                      "held the SYN until there was capacity"));
   BOOST_TEST(
     Contains(SummaryOf("dropped reason=route-unknown"), "route-unknown"));
   BOOST_TEST(Contains(SummaryOf(""), "No instance logged"));
--- a/tests/FlowDaemon/NodeSettingsTest.cpp
+++ b/tests/FlowDaemon/NodeSettingsTest.cpp
@@ -95,6 +95,20 @@
   BOOST_TEST(!report.mErrors.empty());
 }
 
+// Guards against scheduling that can't be switched off, or is off by default.
+BOOST_AUTO_TEST_CASE(SchedulingOfFlowsIsOnUnlessSwitchedOff)
+{
+  for (const std::string value : { "", "yes", "no", "maybe" }) {
+    const std::string line =
+      value.empty() ? "" : "schedule-flows = " + value + "\n";
+    NodeSettings settings;
+    const auto report = Load({ "--role", "entry" }, kEntry + line, settings);
+    BOOST_TEST(report.mErrors.empty() == (value != "maybe"));
+    const bool isOn = settings.mScheduleFlows == FlowScheduling::On;
+    BOOST_TEST(isOn == (value != "no"));
+  }
+}
+
 // Other instances must use the advertised address, not the one that is bound.
 BOOST_AUTO_TEST_CASE(AdvertisedAddressIsTheIdentity)
 {
