--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -32,6 +32,7 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now().time_since_epoch())
       .count());
+  options.mScheduleFlows = aSettings.mScheduleFlows == FlowScheduling::On;
   return options;
 }
 
