Flow: flows queue for at most six tenths of the target latency

With the whole target latency as the limit, callers that were refused by one agent were served late by the next, since a retry comes from a new port and shows nothing of the first attempt.

--- a/include/snipepost/Flow/FlowQueue.h
+++ b/include/snipepost/Flow/FlowQueue.h
@@ -23,6 +23,8 @@
   bool mIdempotent = true;
   /// Time of the first SYN plus the target latency.
   Instant mDeadline;
+  /// Until when the response is expected for the flow to be queued.
+  Instant mQueueLimit;
   /// When the flow must be refused because the caller is about to abandon the
   /// attempt.
   Instant mExpires;
--- a/src/Flow/FlowScheduler.cpp
+++ b/src/Flow/FlowScheduler.cpp
@@ -25,6 +25,11 @@
 /// that leave the queue at the last moment would be late.
 constexpr double kServiceTimeMargin = 1.5;
 
+/// Share of the target latency that the wait and the service may use when a
+/// flow is queued. The rest covers the network and what the packet does not
+/// show: the caller may have been refused elsewhere before.
+constexpr double kTargetShare = 0.6;
+
 Instant
 FirstSynTime(const Packet& aSyn, Instant aNow)
 {
@@ -120,6 +125,8 @@
   flow.mPriority = route->second.mPriority;
   flow.mIdempotent = route->second.mKind != cluster::RequestKind::Unsafe;
   flow.mDeadline = firstSyn + route->second.mObjective;
+  flow.mQueueLimit = firstSyn + std::chrono::duration_cast<Duration>(
+                                  route->second.mObjective * kTargetShare);
   flow.mExpires = firstSyn + kConnectTimeout - kHandshakeReserve;
   flow.mServiceTime = TimeToResponse(aSyn.mDestination, aLoad, aNow);
   return flow;
@@ -149,7 +156,7 @@
   // A request that isn't idempotent can't be retried once it has started, but
   // until then it may wait for as long as its caller does.
   const Instant limit =
-    aFlow.mIdempotent ? aFlow.mDeadline - aFlow.mServiceTime : aFlow.mExpires;
+    aFlow.mIdempotent ? aFlow.mQueueLimit - aFlow.mServiceTime : aFlow.mExpires;
   if (leaves > limit) {
     return Outcome::TooLate;
   }
