Tests: queued offers with a full retry budget, and flows that are counted twice

Cause: three of 14 faults put into the entry instance's code passed QueuedOfferTest: a further offer when another one times out after a late Queued reply (the budget for such offers was empty in the test), schedule-flows without effect (the test's second configuration had a lower version than its first), and flows counted as a request more than once.

Change: the test fills the budget, uses a higher version, and retransmits SYNs of flows that were queued and then refused.

--- a/tests/Flow/QueuedOfferTest.cpp
+++ b/tests/Flow/QueuedOfferTest.cpp
@@ -110,7 +110,14 @@
     ++mCaller.mPort;
     const size_t before = mSent.size();
     SendSyn();
-    for (size_t i = before; i < mSent.size(); ++i) {
+    RefuseOffers(before);
+  }
+
+  /// Refuses the offers that were sent after the first aFirst ones, and those
+  /// that follow.
+  void RefuseOffers(size_t aFirst)
+  {
+    for (size_t i = aFirst; i < mSent.size(); ++i) {
       const Address agent = mSent[i].mAgent;
       Reply(agent, Refusal::Full);
     }
@@ -170,7 +177,7 @@
         Part::Routes, { { "main", Revision(2), "4" } }, Revision(2));
     } else {
       mReplica.ApplyChanges(
-        Part::Routes, { { "main", Revision(3), "2" } }, Revision(3));
+        Part::Routes, { { "main", Revision(3), "6" } }, Revision(3));
     }
     mSent.clear();
     for (int i = 0; i < 20; ++i) {
@@ -283,11 +290,19 @@
 // that an agent holds after a late reply.
 BOOST_AUTO_TEST_CASE(LateQueuedReplyEndsTheOffers)
 {
+  // Fills the budget for offers that follow an unanswered one.
+  for (int i = 0; i < 50; ++i) {
+    SendSyn();
+    Reply(mSent.back().mAgent, Refusal::None);
+    ++mCaller.mPort;
+  }
+  mNow += 1s;
+  const size_t before = mSent.size();
   SendSyn();
   const Address late = mSent.back().mAgent;
   AdvanceTime(35ms);
   const size_t offers = mSent.size();
-  BOOST_REQUIRE(offers >= 2U);
+  BOOST_REQUIRE(offers - before >= 2U);
   Reply(late, Refusal::Queued);
   AdvanceTime(100ms);
   BOOST_TEST(mSent.size() == offers);
@@ -348,7 +363,14 @@
   for (int i = 0; i < 40; ++i) {
     ++mCaller.mPort;
     const Address agent = Queue();
+    size_t before = mSent.size();
     Reply(agent, Refusal::Full);
+    RefuseOffers(before);
+    for (uint32_t retransmission = 1; retransmission <= 2; ++retransmission) {
+      before = mSent.size();
+      SendSyn(retransmission);
+      RefuseOffers(before);
+    }
   }
   BOOST_TEST(Throttled() == 0U);
 }
