Flow: busy agents are offered a flow for queueing at once, and only those that may take it

Change: while every candidate has reported a wait, the one with the shortest wait and reply time gets the final offer first. An agent whose reported wait is at least that of one that has refused the flow as full isn't asked.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -65,6 +65,10 @@
   /// 300 kB.
   static constexpr size_t kMaxWaitingPackets = 256;
 
+  /// Limit of the offers of a flow, including those to agents that are full or
+  /// do not reply.
+  static constexpr size_t kMaxOffers = 5;
+
   FlowEntryCore(EntryOptions aOptions,
                 const cluster::Replica& aReplica,
                 EntryOutput& aOutput,
@@ -203,6 +207,19 @@
                  const Candidate& aCandidate,
                  TransitMark aMark,
                  Instant aNow);
+  /// Removes the candidates that would refuse the flow: their reported waits
+  /// are at least as long as that of an agent that has refused it as full.
+  void RemoveRefusing(const EntryFlow& aFlow,
+                      uint32_t aPriority,
+                      std::vector<Candidate>& aCandidates,
+                      Instant aNow) const;
+  /// Makes the final offer to the candidate with the shortest expected wait if
+  /// flows wait at all of them. False when one may have a free slot.
+  bool OfferForQueueing(const FlowTuple& aTuple,
+                        EntryFlow& aFlow,
+                        const cluster::Route& aRoute,
+                        const std::vector<Candidate>& aCandidates,
+                        Instant aNow);
   /// Makes the final offer to the best of the agents that refused an earlier
   /// one as busy. False when there is none.
   bool OfferToBusyAgent(const FlowTuple& aTuple,
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -18,9 +18,6 @@
 /// processors are overloaded.
 constexpr size_t kFreeSlotOffers = 2;
 
-/// Maximum number of offers, including agents that are full or do not reply.
-constexpr size_t kMaxOffers = 5;
-
 /// Timeouts for the reply to an offer: a handshake takes 0.3 ms, the round trip
 /// to another failure domain about 8 ms.
 constexpr Duration kLocalReplyTimeout = std::chrono::milliseconds(15);
@@ -93,7 +90,13 @@
     return;
   }
   const std::string& service = ServiceOf(route->second, aTuple);
-  const auto candidates = EligibleCandidates(aTuple, aFlow, service);
+  auto candidates = EligibleCandidates(aTuple, aFlow, service);
+  if (IsScheduled(service)) {
+    RemoveRefusing(aFlow, route->second.mPriority, candidates, aNow);
+    if (OfferForQueueing(aTuple, aFlow, route->second, candidates, aNow)) {
+      return;
+    }
+  }
   const size_t made = aFlow.mOffers.size();
   // Enough agents were busy: the best of them is offered the flow for queueing.
   if (made >= kFreeSlotOffers &&
--- a/src/Flow/FlowEntryCoreScheduling.cpp
+++ b/src/Flow/FlowEntryCoreScheduling.cpp
@@ -131,6 +131,68 @@
   return true;
 }
 
+// Without this, a flow that no agent can serve in time would be offered to
+// several, and their replies would take the time in which its caller can retry.
+void
+FlowEntryCore::RemoveRefusing(const EntryFlow& aFlow,
+                              uint32_t aPriority,
+                              std::vector<Candidate>& aCandidates,
+                              Instant aNow) const
+{
+  std::optional<Duration> refused;
+  for (const Offer& offer : aFlow.mOffers) {
+    const auto view = mViews.find(offer.mAgent);
+    if (offer.mState != OfferState::Refused ||
+        offer.mRefusal != Refusal::Full || view == mViews.end()) {
+      continue;
+    }
+    const auto wait = ExpectedWait(view->second, aPriority, aNow);
+    if (wait && (!refused || *wait < *refused)) {
+      refused = wait;
+    }
+  }
+  if (!refused) {
+    return;
+  }
+  std::erase_if(aCandidates, [&](const Candidate& aCandidate) {
+    const auto wait = ExpectedWait(*aCandidate.mView, aPriority, aNow);
+    return wait && *wait >= *refused;
+  });
+}
+
+bool
+FlowEntryCore::OfferForQueueing(const FlowTuple& aTuple,
+                                EntryFlow& aFlow,
+                                const cluster::Route& aRoute,
+                                const std::vector<Candidate>& aCandidates,
+                                Instant aNow)
+{
+  if (aFlow.mOffers.size() >= kMaxOffers) {
+    return false;
+  }
+  const Candidate* best = nullptr;
+  Duration shortest = Duration::max();
+  for (const Candidate& candidate : aCandidates) {
+    const auto wait = ExpectedWait(*candidate.mView, aRoute.mPriority, aNow);
+    if (aNow < candidate.mView->mAvoidUntil) {
+      continue;
+    }
+    if (!wait || *wait == Duration::zero()) {
+      return false; // It may have a free slot.
+    }
+    const Duration response = *wait + candidate.mView->mReplyTime;
+    if (response < shortest) {
+      best = &candidate;
+      shortest = response;
+    }
+  }
+  if (!best) {
+    return false;
+  }
+  SendOffer(aTuple, aFlow, *best, TransitMark::OfferFinal, aNow);
+  return true;
+}
+
 const FlowEntryCore::Offer*
 FlowEntryCore::BestBusyOffer(const FlowTuple& aTuple,
                              const EntryFlow& aFlow,
