Flow: flows opened before the first heartbeat of a restarted server are not reset

What callers would see: a server restarts within some 100 ms, its first heartbeats are lost, and flows that it has opened since are reset.

Cause: the agent forwards SYNs to the new incarnation before it knows of the restart. The first heartbeat that arrives marked all flows as orphaned, also those that the new incarnation holds.

Change: the start time in the heartbeat, relative to the agent's own start time by the same clock, separates the flows. Only those whose latest SYN was forwarded before it are orphaned; the others stay, and count as load. Without a start time, or with one before the agent's start or in the future, all flows are orphaned as before. So a clock that was set still leads to the old behaviour.

Test: FlowOpenedBeforeTheFirstHeartbeatIsNotReset fails without the change (3 resets instead of 1).

--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -139,6 +139,9 @@
     /// Entry instance that was last notified of the ownership.
     cluster::NodeIp mNotifiedEntry;
     Instant mOpenedAt;
+    /// Time of the latest SYN, or of the first packet when no SYN was seen. No
+    /// incarnation of the backend server that started later holds the flow.
+    Instant mStartedAt;
     Instant mBusySince;
     Instant mLastSeen;
   };
@@ -200,7 +203,11 @@
   /// Removes the deadlines of SYNs that the backend server has answered.
   void RemoveAnsweredSyns();
   void Erase(Flows::iterator aFlow);
-  void OrphanFlows();
+  /// Marks the flows that started before aEnd as orphaned.
+  void OrphanFlows(Instant aEnd);
+  /// The time before which all flows of earlier incarnations started, when
+  /// aHeartbeat is the first known one of its incarnation.
+  Instant EndOfEarlierFlows(const Heartbeat& aHeartbeat, Instant aNow) const;
   /// True when the first heartbeat of an incarnation shows that no earlier
   /// agent can have opened a flow for it.
   bool HasNoEarlierFlow(const Heartbeat& aHeartbeat) const;
--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -35,6 +35,9 @@
 /// Limits the effect of a step of the time of day.
 constexpr uint64_t kFirstHeartbeats = 3;
 
+/// Error of the difference of two start times, which are whole milliseconds.
+constexpr Duration kStartTimeError = std::chrono::milliseconds(2);
+
 /// Limit of flows when the configuration sets none.
 constexpr uint32_t kDefaultMaxFlows = 1000;
 
@@ -158,6 +161,7 @@
   flow.mLookedUp = aPacket.mMark == TransitMark::OwnerLookup;
   flow.mEntry = aFrom;
   flow.mOpenedAt = aNow;
+  flow.mStartedAt = aNow;
   flow.mLastSeen = aNow;
   mOutput.SendToBackend(aBytes);
 }
@@ -277,6 +281,7 @@
       // A SYN retransmission: the backend server repeats its SYN-ACK and counts
       // no second flow.
       found->second.mEntry = aFrom;
+      found->second.mStartedAt = aNow;
       mOutput.SendToBackend(aBytes);
       return;
     }
@@ -304,6 +309,7 @@
   flow.mEntry = aFrom;
   flow.mNotifiedEntry = aFrom;
   flow.mOpenedAt = aNow;
+  flow.mStartedAt = aNow;
   flow.mLastSeen = aNow;
   SetBusy(flow, true, aNow);
   mStatus.OnFlowAccepted(aNow);
@@ -384,7 +390,7 @@
   }
   mBackendEnded = false;
   if (outcome == HeartbeatOutcome::Restarted) {
-    OrphanFlows();
+    OrphanFlows(EndOfEarlierFlows(aHeartbeat, aNow));
     mBackendStartedAfterAgent = true;
   } else if (first) {
     // Received before any packet of the incarnation's flows, such a heartbeat
@@ -414,25 +420,49 @@
          mOptions.mStartTime - aHeartbeat.mStartTime <= kMinAgentLifetimeMs;
 }
 
+// When the first heartbeats of an incarnation are lost, it has opened flows
+// before the agent knows of its start. Both start times are from the clock of
+// the same machine. An incarnation that follows one known to this agent can't
+// have started before the agent, nor in the future; the clock has been set if
+// it says so.
+Instant
+FlowAgentCore::EndOfEarlierFlows(const Heartbeat& aHeartbeat,
+                                 Instant aNow) const
+{
+  const uint64_t agentStart = mOptions.mStartTime;
+  const auto runtime =
+    static_cast<uint64_t>((aNow - mStart) / std::chrono::milliseconds(1));
+  if (agentStart == 0 || aHeartbeat.mStartTime < agentStart ||
+      aHeartbeat.mStartTime - agentStart > runtime) {
+    return Instant::max();
+  }
+  const std::chrono::milliseconds afterAgent(aHeartbeat.mStartTime -
+                                             agentStart);
+  return mStart + afterAgent - kStartTimeError;
+}
+
 void
-FlowAgentCore::OrphanFlows()
+FlowAgentCore::OrphanFlows(Instant aEnd)
 {
   // A flow whose SYN this backend server has not answered belongs to another
   // backend server and must not be reset.
-  std::erase_if(mFlows, [](const auto& aItem) {
-    return !aItem.second.mEstablished && !aItem.second.mSynAcked;
+  std::erase_if(mFlows, [aEnd](const auto& aItem) {
+    const AgentFlow& flow = aItem.second;
+    return flow.mStartedAt < aEnd && !flow.mEstablished && !flow.mSynAcked;
   });
+  mLoad = 0;
   for (auto& [tuple, flow] : mFlows) {
-    flow.mOrphaned = true;
-    flow.mBusy = false;
+    if (flow.mStartedAt < aEnd) {
+      flow.mOrphaned = true;
+      flow.mBusy = false;
+    }
+    mLoad += flow.mBusy ? 1 : 0;
   }
-  mLoad = 0;
   mUnansweredSyns = 0;
   mReturnsPackets = false;
   mBreaker = CircuitBreaker();
   mLastResponseAtFullLoad.reset();
-  mAwaitingSynAck.clear();
-  mHalfOpenLoad.clear();
+  RemoveAnsweredSyns();
 }
 
 bool
@@ -446,7 +476,7 @@
 {
   mBackendEnded = true;
   mBackendStartedAfterAgent = true;
-  OrphanFlows();
+  OrphanFlows(Instant::max());
 }
 
 bool
--- a/src/Flow/FlowAgentCoreBackend.cpp
+++ b/src/Flow/FlowAgentCoreBackend.cpp
@@ -46,6 +46,7 @@
     // The flow was opened before this agent started, or has expired here.
     found = mFlows.try_emplace(tuple).first;
     found->second.mOpenedAt = aNow;
+    found->second.mStartedAt = aNow;
     found->second.mTentative = true;
     found->second.mSynAcked = true;
   }
--- a/tests/Flow/FlowAgentCoreTest.cpp
+++ b/tests/Flow/FlowAgentCoreTest.cpp
@@ -431,6 +431,40 @@
   BOOST_TEST(mDecisions.Count(Verdict::Ended) == 1U);
 }
 
+// Guards against the reset of open flows when the first heartbeats of a backend
+// server are lost: it accepts flows before the agent knows that it restarted.
+BOOST_AUTO_TEST_CASE(FlowOpenedBeforeTheFirstHeartbeatIsNotReset)
+{
+  const auto open = [this](uint16_t aPort) {
+    BackendSends(aPort, true);
+    CallerSends(aPort);
+  };
+  SendHeartbeat(kAgentStartTime + 10, 1);
+  SendOffer(1);
+  open(1);
+  mNow += 2900ms;
+  // The first SYN arrives between the two incarnations.
+  SendOffer(2);
+  mNow += 200ms;
+  SendOffer(2, TransitMark::OfferIfFree, 1);
+  open(2);
+  SendOffer(3);
+  open(3);
+  SendOffer(4);
+  mNow += 10ms;
+  BOOST_TEST(
+    (SendHeartbeat(kAgentStartTime + 3000, 3) == HeartbeatOutcome::Restarted));
+  BOOST_TEST(mCore->Load() == 3U);
+  const size_t forwarded = mToBackend;
+  CallerSends(1);
+  BOOST_TEST(mResets == 1U);
+  open(4);
+  CallerSends(2);
+  CallerSends(3);
+  BOOST_TEST(mResets == 1U);
+  BOOST_TEST(mToBackend == forwarded + 3);
+}
+
 // Guards against the reset of a flow that another server owns: two backend
 // servers answered its SYN, the caller chose the other one, this one restarted,
 // and the entry instance, which did not receive the other agent's reply, sends
@@ -753,8 +787,8 @@
 }
 
 // Guards against callers that wait for their time limit after a power failure:
-// a server started 30 ms before its agent, which missed the first heartbeat. The
-// failure domain is evacuated, so the agent can't ask its server.
+// a server started 30 ms before its agent, which missed the first heartbeat.
+// The failure domain is evacuated, so the agent can't ask its server.
 BOOST_AUTO_TEST_CASE(ServerStartedJustBeforeTheAgentHasNoEarlierFlow)
 {
   mReplica.ApplyChanges(
