Flow: exclusions count only for the records that a lookup was made with

What callers would see: an entry instance that starts with an older state, and receives the record of a new server while it looks up a flow of that server, resets the open flow.

Cause: an exclusion is ignored when the agent's records are newer than those of the entry instance, since the instance may then not know the owner. They were compared with the records at the time of the reply, but the agents to ask were chosen from those at the time of the lookup. Reduced: the record of server 12 is written at 5.4 s; flow 0 opens there at 7.97 s; entry 0 restarts at 8.47 s with a state from before 5.4 s, asks the 12 others, receives the records at 9.3197 s, and resets the flow by replies that arrive afterwards.

Change: the version of the records is kept with the lookup, and compared.

Test: ExclusionFromBeforeNewRecordsDoesNotCount fails without the change.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -142,6 +142,8 @@
     std::vector<cluster::NodeIp> mExcluded;
     /// mPending contains every possible owner that is not in mExcluded.
     bool mConclusive = false;
+    /// Version of the records that mPending was chosen from.
+    cluster::PartVersion mRecords;
   };
 
   struct EntryFlow
--- a/src/Flow/FlowEntryCoreLookup.cpp
+++ b/src/Flow/FlowEntryCoreLookup.cpp
@@ -128,10 +128,10 @@
     return;
   }
   OwnerLookup& lookup = found->second.mLookup;
-  // With older records this instance may not know the owner yet.
-  const auto records = mReplica.Version(cluster::Part::Backends);
+  // With older records the latest attempt may not have asked the owner, even if
+  // this instance has received newer ones since.
   if (!Contains(lookup.mPending, aFrom) ||
-      cluster::HasNewerContent(aExclusion.mRecords, records)) {
+      cluster::HasNewerContent(aExclusion.mRecords, lookup.mRecords)) {
     return;
   }
   std::erase(lookup.mPending, aFrom);
@@ -295,6 +295,7 @@
     return Contains(aLookup.mExcluded, AgentIp(aRecord));
   };
   std::erase_if(owners, isExcluded);
+  aLookup.mRecords = mReplica.Version(cluster::Part::Backends);
   aLookup.mPending.clear();
   std::ranges::transform(
     owners, std::back_inserter(aLookup.mPending), &AgentIp);
--- a/tests/Flow/FlowEntryCoreTest.cpp
+++ b/tests/Flow/FlowEntryCoreTest.cpp
@@ -464,6 +464,37 @@
   BOOST_TEST(mResets == 1U);
 }
 
+// Guards against the reset of an open flow whose owner's record arrives between
+// a lookup and its replies: the lookup did not ask the owner.
+BOOST_AUTO_TEST_CASE(ExclusionFromBeforeNewRecordsDoesNotCount)
+{
+  SendData(1);
+  BOOST_REQUIRE(mSent.size() == 6U);
+  cluster::BackendRecord owner;
+  owner.mService = "desk";
+  owner.mAgent = AgentAddress(6);
+  owner.mDomain = "a";
+  mReplica.ApplyChanges(Part::Backends,
+                        { { cluster::RecordName(owner.mAgent),
+                            Revision(2),
+                            cluster::EncodeRecord(owner) } },
+                        Revision(2));
+  for (size_t i = 0; i < 6; ++i) {
+    Exclude(AgentAddress(i));
+  }
+  BOOST_TEST(mResets == 0U);
+  AdvanceTime(50ms);
+  mSent.clear();
+  SendData(1);
+  BOOST_TEST(mSent.size() == 7U);
+  for (size_t i = 0; i < 6; ++i) {
+    Exclude(AgentAddress(i));
+  }
+  BOOST_TEST(mResets == 0U);
+  Exclude(owner.mAgent);
+  BOOST_TEST(mResets == 1U);
+}
+
 // Exclusions hold for one flow, not for a later one with the same addresses.
 BOOST_AUTO_TEST_CASE(ExclusionsOfAnEarlierFlowAreDiscarded)
 {
