Flow: no slot is idle while flows wait, and callers are reset at once when a copy would be late

The look-ahead covered the mean opening time only, so slots waited for callers whose handshake took longer than the service of what was ahead. And in the first 1.5 s of an overload a SYN that all agents refused was dropped for its copy, which comes 200 or 600 ms later, too late for the target latency.

Change: two flows more in the look-ahead, and for scheduled services a reset at once when the next copy would come after half of the target latency; the caller can then retry in time. The queue limit becomes seven tenths of the target.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -240,7 +240,13 @@
   void FailPlacement(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
   /// True when the overload has only begun and the caller will retransmit the
   /// SYN, which may then be accepted. Records the overload.
-  bool ExpectsRetransmission(const EntryFlow& aFlow, Instant aNow);
+  bool ExpectsRetransmission(const FlowTuple& aTuple,
+                             const EntryFlow& aFlow,
+                             Instant aNow);
+  /// True when the next retransmission of the SYN is too late for a response
+  /// within the target latency, for services that are scheduled.
+  bool RetransmissionIsLate(const FlowTuple& aTuple,
+                            const EntryFlow& aFlow) const;
   void Reject(const FlowTuple& aTuple,
               EntryFlow& aFlow,
               std::string_view aReason,
--- a/src/Flow/BackendCapacity.cpp
+++ b/src/Flow/BackendCapacity.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// Flows of the look-ahead beyond the mean demand. Opening and service times
+/// vary, and a slot that waits for a caller's data is lost.
+constexpr double kSpareFlows = 2.0;
+
 /// Samples that a mean extends over; the weight of a sample is at least the
 /// reciprocal.
 constexpr uint8_t kMeanSamples = 16;
@@ -142,10 +146,10 @@
 {
   const uint32_t limit = QueueLimit(aNow);
   // Computed in floating point because the product can exceed 64 bits.
-  const double flows = std::ceil(
+  const double opening = std::ceil(
     std::max(aSlots, 1U) * static_cast<double>(mOpeningTime.Mean().count()) /
     static_cast<double>(MeanServiceTime().count()));
-  return static_cast<uint32_t>(std::min<double>(std::max(flows, 1.0), limit));
+  return static_cast<uint32_t>(std::min<double>(opening + kSpareFlows, limit));
 }
 
 } // namespace snipepost::flow
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -207,7 +207,7 @@
   if (overloaded) {
     CountOutcome(aTuple, aFlow, false, aNow);
   }
-  if (overloaded && ExpectsRetransmission(aFlow, aNow)) {
+  if (overloaded && ExpectsRetransmission(aTuple, aFlow, aNow)) {
     ReportDecision(Verdict::Dropped,
                    aTuple,
                    aFlow,
@@ -224,14 +224,17 @@
 }
 
 bool
-FlowEntryCore::ExpectsRetransmission(const EntryFlow& aFlow, Instant aNow)
+FlowEntryCore::ExpectsRetransmission(const FlowTuple& aTuple,
+                                     const EntryFlow& aFlow,
+                                     Instant aNow)
 {
   if (aNow - mLastOverload > kOverloadPause) {
     mOverloadSince = aNow;
   }
   mLastOverload = aNow;
   return aNow - mOverloadSince < kShortOverload &&
-         aFlow.mSynPacket.mAcknowledgement < kLastRetransmission;
+         aFlow.mSynPacket.mAcknowledgement < kLastRetransmission &&
+         !RetransmissionIsLate(aTuple, aFlow);
 }
 
 void
--- a/src/Flow/FlowEntryCoreScheduling.cpp
+++ b/src/Flow/FlowEntryCoreScheduling.cpp
@@ -4,11 +4,22 @@
 #include <snipepost/Flow/FlowEntryCore.h>
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <set>
 
 namespace snipepost::flow {
 
+namespace {
+
+/// When callers retransmit a SYN, after the first one.
+constexpr std::array<Duration, 2> kRetransmissionTimes = {
+  std::chrono::milliseconds(200),
+  std::chrono::milliseconds(600),
+};
+
+} // namespace
+
 void
 FlowEntryCore::UpdateThrottles()
 {
@@ -193,6 +204,22 @@
   return true;
 }
 
+// A caller that is reset at once can still be served in time by its retry.
+bool
+FlowEntryCore::RetransmissionIsLate(const FlowTuple& aTuple,
+                                    const EntryFlow& aFlow) const
+{
+  const auto route = mRoutes->mRoutes.find(aTuple.mService);
+  const uint32_t copy = aFlow.mSynPacket.mAcknowledgement;
+  if (route == mRoutes->mRoutes.end() ||
+      !IsScheduled(ServiceOf(route->second, aTuple)) ||
+      copy >= kRetransmissionTimes.size()) {
+    return false;
+  }
+  // The rest of the target latency is for the wait and the service.
+  return kRetransmissionTimes[copy] > route->second.mObjective / 2;
+}
+
 const FlowEntryCore::Offer*
 FlowEntryCore::BestBusyOffer(const FlowTuple& aTuple,
                              const EntryFlow& aFlow,
--- a/src/Flow/FlowScheduler.cpp
+++ b/src/Flow/FlowScheduler.cpp
@@ -28,7 +28,7 @@
 /// Share of the target latency that the wait and the service may use when a
 /// flow is queued. The rest covers the network and what the packet does not
 /// show: the caller may have been refused elsewhere before.
-constexpr double kTargetShare = 0.6;
+constexpr double kTargetShare = 0.7;
 
 Instant
 FirstSynTime(const Packet& aSyn, Instant aNow)
