--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -107,6 +107,7 @@
   /// Requests that the backend server processes or queues.
   uint32_t Load() const { return mLoad; }
   size_t FlowCount() const { return mFlows.size(); }
+  const FlowScheduler& Scheduler() const { return mScheduler; }
   /// Flows that wait at the agent.
   size_t WaitingFlows() const { return mScheduler.Queue().Size(); }
   /// Flows that are not closed or have a request without a response.
--- a/include/snipepost/Flow/FlowScheduler.h
+++ b/include/snipepost/Flow/FlowScheduler.h
@@ -74,6 +74,7 @@
   FlowQueue& Queue() { return mQueue; }
   const FlowQueue& Queue() const { return mQueue; }
   BackendCapacity& Capacity() { return mCapacity; }
+  const BackendCapacity& Capacity() const { return mCapacity; }
   /// Forgets what was learnt from an earlier incarnation of the server.
   void ResetCapacity() { mCapacity = BackendCapacity(); }
 
--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -28,10 +28,10 @@
   // The other half of the limit is the time that the evacuation may take to
   // reach this instance.
   options.mEvacuationGrace = aSettings.mEvacuationLimit / 2;
-  options.mStartTime = static_cast<uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count());
+  options.mStartTime =
+    static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                            std::chrono::system_clock::now().time_since_epoch())
+                            .count());
   options.mScheduleFlows = aSettings.mScheduleFlows == FlowScheduling::On;
   return options;
 }
@@ -296,9 +296,21 @@
     mCore.Expire(now);
     mNode.Metrics().mFlows.Set(static_cast<double>(mCore.FlowCount()));
     mNode.Metrics().mLoad.Set(mCore.Load());
+    UpdateSchedulerMetrics(now);
   }
 }
 
+void
+AgentNode::UpdateSchedulerMetrics(Instant aNow)
+{
+  const flow::BackendCapacity& capacity = mCore.Scheduler().Capacity();
+  NodeMetrics& metrics = mNode.Metrics();
+  metrics.mWaitingFlows.Set(static_cast<double>(mCore.WaitingFlows()));
+  metrics.mServiceTime.Set(
+    std::chrono::duration<double>(capacity.MeanServiceTime()).count());
+  metrics.mQueueLimit.Set(capacity.QueueLimit(aNow));
+}
+
 void
 AgentNode::OnDatagram(std::span<const uint8_t> aBytes, const Address& aFrom)
 {
--- a/src/FlowDaemon/AgentNode.h
+++ b/src/FlowDaemon/AgentNode.h
@@ -72,6 +72,7 @@
   http1::Response OnHeartbeat(const flow::Heartbeat& aHeartbeat);
   /// Updates the desired record from the status of the backend server, and
   /// publishes it.
+  void UpdateSchedulerMetrics(Instant aNow);
   void Announce();
   /// True when the backend server has ended and will not come back.
   bool BackendLeft() const;
--- a/src/FlowDaemon/NodeMetrics.cpp
+++ b/src/FlowDaemon/NodeMetrics.cpp
@@ -41,6 +41,14 @@
   , mFlows(mRegistry.AddGauge("snipepost_flows", "Flows in the table"))
   , mLoad(mRegistry.AddGauge("snipepost_backend_load",
                              "Requests at the backend server"))
+  , mWaitingFlows(
+      mRegistry.AddGauge("snipepost_waiting_flows",
+                         "New flows that wait at the agent for a slot"))
+  , mServiceTime(mRegistry.AddGauge("snipepost_backend_service_seconds",
+                                    "Mean time that a request occupies a slot"))
+  , mQueueLimit(
+      mRegistry.AddGauge("snipepost_backend_queue_limit",
+                         "Requests that the backend server queues, as learnt"))
   , mLogLinesDropped(mRegistry.AddGauge("snipepost_log_lines_dropped",
                                         "Log lines above the rate"))
   , mPlacement(
--- a/src/FlowDaemon/NodeMetrics.h
+++ b/src/FlowDaemon/NodeMetrics.h
@@ -38,6 +38,9 @@
   Gauge& mBackends;
   Gauge& mFlows;
   Gauge& mLoad;
+  Gauge& mWaitingFlows;
+  Gauge& mServiceTime;
+  Gauge& mQueueLimit;
   Gauge& mLogLinesDropped;
 
 private:
