--- a/src/Flow/FlowQueue.cpp
+++ b/src/Flow/FlowQueue.cpp
@@ -78,8 +78,8 @@
   });
 }
 
-/// The flow that a guaranteed turn takes, or null. A late idempotent flow is
-/// not worth the slot that an urgent one would otherwise get.
+/// The flow that a guaranteed turn takes, or null. A late idempotent flow does
+/// not take the slot that an urgent one would otherwise get.
 const WaitingFlow*
 GuaranteedFlow(const FlowPointers& aFlows, Instant aNow)
 {
