Flow: owner lookups ask agents whose records are missing

Callers saw resets of open flows while the record of a running agent was wrongly removed, for example by an entry instance that could not reach the agent: lookups asked only the agents of current records, all of these excluded themselves, and the flow was reset although its owner had not been asked. A record that was written again also lost its first revision, so that servers added between the two counted as better ranked from the start.

Lookups ask these agents, and are conclusive only with their answers, until they have left 6 messages unanswered for 2 s.

--- a/include/snipepost/Flow/CandidateTable.h
+++ b/include/snipepost/Flow/CandidateTable.h
@@ -8,6 +8,7 @@
 #include <snipepost/Base/Types.h>
 #include <snipepost/Cluster/BackendRecord.h>
 #include <snipepost/Flow/Candidates.h>
+#include <snipepost/Flow/RecordHistory.h>
 
 namespace snipepost::flow {
 
@@ -23,12 +24,9 @@
   /// enough for the choice by load, and owner lookups stay small.
   static constexpr size_t kCandidatesPerDomain = 4;
 
-  /// Adds a server. aCreated is the revision at which its record was created,
-  /// zero when unknown; aKnownSince the time from which this node has known the
-  /// record without interruption. The record must outlive the table.
-  void Add(const cluster::BackendRecord& aRecord,
-           cluster::Revision aCreated,
-           Instant aKnownSince);
+  /// Adds a server. A missing one is a possible owner, but no candidate.
+  /// The record must outlive the table.
+  void Add(const RecordHistory::KnownRecord& aRecord);
 
   /// The servers that a flow may be offered to: those of the local failure
   /// domain first, each group in rendezvous order. mView is not set. Takes
@@ -54,10 +52,9 @@
 private:
   struct Server
   {
-    const cluster::BackendRecord* mRecord = nullptr;
+    const RecordHistory::KnownRecord* mKnown = nullptr;
     uint64_t mHashSeed = 0;
-    cluster::Revision mCreated;
-    Instant mKnownSince;
+    bool mMissing = false;
   };
 
   using Servers = std::vector<Server>;
--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -17,6 +17,7 @@
 #include <snipepost/Flow/Decision.h>
 #include <snipepost/Flow/OverloadThrottle.h>
 #include <snipepost/Flow/Packet.h>
+#include <snipepost/Flow/RecordHistory.h>
 
 namespace snipepost::flow {
 
@@ -268,6 +269,9 @@
                         const cluster::Route& aRoute,
                         OwnerLookup& aLookup,
                         Instant aNow) const;
+  /// True for a server whose record is missing and whose agent does not reply.
+  bool HasProbablyEnded(const cluster::BackendRecord& aRecord,
+                        Instant aNow) const;
   /// The servers that may own the flow: those of the services that the route
   /// sends new flows to first, then those of all others if aOfEveryService.
   Servers PossibleOwners(const FlowTuple& aTuple,
@@ -370,8 +374,7 @@
   /// routes with different priorities send new flows.
   std::map<std::string, OverloadThrottle> mThrottles;
   Random mRandom;
-  /// Time from which each record has been known, by name.
-  std::unordered_map<std::string, Instant> mKnownSince;
+  RecordHistory mRecords;
   std::unordered_map<Address, AgentView> mViews;
   Flows mFlows;
   size_t mWaitingPackets = 0;
--- a/src/Flow/CandidateTable.cpp
+++ b/src/Flow/CandidateTable.cpp
@@ -67,13 +67,13 @@
 } // namespace
 
 void
-CandidateTable::Add(const cluster::BackendRecord& aRecord,
-                    cluster::Revision aCreated,
-                    Instant aKnownSince)
+CandidateTable::Add(const RecordHistory::KnownRecord& aRecord)
 {
-  const uint64_t seed = HashAddress(aRecord.mAgent, kCandidateSeed);
-  mDomains[aRecord.mDomain].push_back(
-    { &aRecord, seed, aCreated, aKnownSince });
+  const cluster::BackendRecord& record = aRecord.mRecord;
+  mDomains[record.mDomain].push_back(
+    { &aRecord,
+      HashAddress(record.mAgent, kCandidateSeed),
+      aRecord.mMissingSince.has_value() });
 }
 
 std::vector<Candidate>
@@ -85,7 +85,10 @@
   for (const auto& [domain, servers] : mDomains) {
     BestServers best;
     for (const Server& server : servers) {
-      best.Insert(HashWord(aFlowHash, server.mHashSeed), server.mRecord);
+      if (!server.mMissing) {
+        best.Insert(HashWord(aFlowHash, server.mHashSeed),
+                    &server.mKnown->mRecord);
+      }
     }
     auto& group = domain == aLocalDomain ? local : remote;
     group.insert(group.end(), best.begin(), best.end());
@@ -125,7 +128,7 @@
   }
   std::ranges::sort(ranked, std::ranges::greater{});
   for (const auto& [score, server] : ranked) {
-    aServers.push_back(server->mRecord);
+    aServers.push_back(&server->mKnown->mRecord);
   }
 }
 
@@ -142,14 +145,17 @@
     std::ranges::sort(ranked, std::ranges::greater{});
     EarliestRevisions better;
     for (const auto& [score, server] : ranked) {
-      const uint64_t created = server->mCreated.Value();
-      if (better.Latest() > created) {
-        aOwners.push_back(server->mRecord);
+      const RecordHistory::KnownRecord& known = *server->mKnown;
+      if (better.Latest() > known.mFirstCreated.Value()) {
+        aOwners.push_back(&known.mRecord);
+      }
+      if (server->mMissing) {
+        continue;
       }
-      if (aNow - server->mKnownSince >= aFlowLimit) {
+      if (aNow - known.mKnownSince >= aFlowLimit) {
         better.Insert(0);
-      } else if (created != 0) {
-        better.Insert(created);
+      } else if (known.mCreated != cluster::Revision()) {
+        better.Insert(known.mCreated.Value());
       }
     }
   }
--- a/src/Flow/FlowEntryCore.cpp
+++ b/src/Flow/FlowEntryCore.cpp
@@ -39,6 +39,7 @@
   , mDecisions(aDecisions)
   , mRoutes(aReplica.Routes())
   , mRandom(mOptions.mSeed)
+  , mRecords(mOptions.mFlowLimit)
   , mRetryBudget(kOfferRetries)
 {
   UpdateThrottles();
@@ -228,18 +229,13 @@
 void
 FlowEntryCore::RebuildTables(Instant aNow)
 {
-  std::erase_if(mKnownSince, [this](const auto& aKnown) {
-    return !mReplica.Backends().contains(aKnown.first);
-  });
   mTables.clear();
-  for (const auto& [name, record] : mReplica.Backends()) {
-    const Instant knownSince =
-      mKnownSince.try_emplace(name, aNow).first->second;
-    mTables[record.mService].Add(
-      record, mReplica.RecordCreated(name), knownSince);
+  mRecords.Update(mReplica, aNow);
+  for (const auto& [name, known] : mRecords.Records()) {
+    mTables[known.mRecord.mService].Add(known);
   }
   std::erase_if(mViews, [this](const auto& aView) {
-    return !mReplica.Backends().contains(cluster::RecordName(aView.first));
+    return !mRecords.Records().contains(cluster::RecordName(aView.first));
   });
 }
 
--- a/src/Flow/FlowEntryCoreLookup.cpp
+++ b/src/Flow/FlowEntryCoreLookup.cpp
@@ -36,6 +36,12 @@
 /// some 100 ms after the start.
 constexpr Duration kIncompleteStateInterval = std::chrono::milliseconds(50);
 
+/// Number and time of unanswered messages after which an agent whose record is
+/// missing is considered ended. Without this, lookups for the flows of a server
+/// that has ended would wait for its agent.
+constexpr uint32_t kMissingUnanswered = 6;
+constexpr Duration kMissingSilence = std::chrono::seconds(2);
+
 /// Largest distance of a caller's acknowledgement from the backend server's
 /// initial sequence number, for the first packets of a flow. Also the largest
 /// difference between the acknowledgements of successive packets of a flow.
@@ -91,27 +97,26 @@
     }
     return;
   }
-  for (const auto& [name, record] : mReplica.Backends()) {
-    if (record.mAgent.mIp == aFrom.Value()) {
-      flow.mOwner = record.mAgent;
-      flow.mResolved = true;
-      for (const auto& packet : flow.mLookup.mWaiting) {
-        mOutput.SendToAgent(packet, *flow.mOwner, 0, TransitMark::Owner, false);
-      }
-      EndLookup(flow);
-      // The reply to the offer was lost; no further offer is made.
-      SetDeadline(aNotice.mFlow, flow, std::nullopt);
-      mViews[record.mAgent].mUnansweredOffers = 0;
-      ReportDecision(Verdict::Located,
-                     aNotice.mFlow,
-                     flow,
-                     record.mAgent,
-                     Refusal::None,
-                     {},
-                     aNow);
-      return;
-    }
+  const cluster::BackendRecord* record = mRecords.FindAgent(aFrom);
+  if (!record) {
+    return;
   }
+  flow.mOwner = record->mAgent;
+  flow.mResolved = true;
+  for (const auto& packet : flow.mLookup.mWaiting) {
+    mOutput.SendToAgent(packet, *flow.mOwner, 0, TransitMark::Owner, false);
+  }
+  EndLookup(flow);
+  // The reply to the offer was lost; no further offer is made.
+  SetDeadline(aNotice.mFlow, flow, std::nullopt);
+  mViews[record->mAgent].mUnansweredOffers = 0;
+  ReportDecision(Verdict::Located,
+                 aNotice.mFlow,
+                 flow,
+                 record->mAgent,
+                 Refusal::None,
+                 {},
+                 aNow);
 }
 
 void
@@ -281,6 +286,17 @@
   return best;
 }
 
+bool
+FlowEntryCore::HasProbablyEnded(const cluster::BackendRecord& aRecord,
+                                Instant aNow) const
+{
+  const auto view = mViews.find(aRecord.mAgent);
+  return view != mViews.end() &&
+         view->second.mUnansweredOffers >= kMissingUnanswered &&
+         aNow - view->second.mUnansweredSince > kMissingSilence &&
+         mRecords.IsMissing(cluster::RecordName(aRecord.mAgent));
+}
+
 FlowEntryCore::Servers
 FlowEntryCore::LookupTargets(const FlowTuple& aTuple,
                              const cluster::Route& aRoute,
@@ -292,8 +308,9 @@
   // instance may not have seen the earlier configuration.
   const bool ofEveryService = aLookup.mAttempts > 1;
   Servers owners = PossibleOwners(aTuple, aRoute, ofEveryService, aNow);
-  const auto isExcluded = [&aLookup](const cluster::BackendRecord* aRecord) {
-    return Contains(aLookup.mExcluded, AgentIp(aRecord));
+  const auto isExcluded = [&](const cluster::BackendRecord* aRecord) {
+    return Contains(aLookup.mExcluded, AgentIp(aRecord)) ||
+           HasProbablyEnded(*aRecord, aNow);
   };
   std::erase_if(owners, isExcluded);
   aLookup.mRecords = mReplica.Version(cluster::Part::Backends);
--- a/src/Flow/FlowEntryCoreReplies.cpp
+++ b/src/Flow/FlowEntryCoreReplies.cpp
@@ -275,9 +275,11 @@
 {
   std::vector<std::string> names;
   for (const auto& [agent, view] : mViews) {
+    const std::string name = cluster::RecordName(agent);
     if (view.mUnansweredOffers >= kDeadOffers &&
-        aNow - view.mUnansweredSince > kDeadAfter) {
-      names.push_back(cluster::RecordName(agent));
+        aNow - view.mUnansweredSince > kDeadAfter &&
+        !mRecords.IsMissing(name)) {
+      names.push_back(name);
     }
   }
   return names;
--- a/tests/Flow/CandidateTableTest.cpp
+++ b/tests/Flow/CandidateTableTest.cpp
@@ -30,22 +30,20 @@
   return record;
 }
 
-/// A record with the revision at which it was created.
-struct StoredServer
+RecordHistory::KnownRecord
+MakeKnown(size_t aIndex, size_t aDomains, Revision aCreated)
 {
-  BackendRecord mRecord;
-  Revision mCreated;
-  Instant mKnownSince = kNow;
-};
+  return { MakeRecord(aIndex, aDomains), aCreated, aCreated, kNow, {} };
+}
 
-using StoredServers = std::map<size_t, StoredServer>;
+using StoredServers = std::map<size_t, RecordHistory::KnownRecord>;
 
 CandidateTable
 MakeTable(const StoredServers& aServers)
 {
   CandidateTable table;
   for (const auto& [index, server] : aServers) {
-    table.Add(server.mRecord, server.mCreated, server.mKnownSince);
+    table.Add(server);
   }
   return table;
 }
@@ -55,7 +53,7 @@
 {
   StoredServers servers;
   for (size_t i = 0; i < aCount; ++i) {
-    servers[i] = { MakeRecord(i, aDomains), Revision(i + 1) };
+    servers[i] = MakeKnown(i, aDomains, Revision(i + 1));
   }
   return servers;
 }
@@ -93,7 +91,7 @@
   const CandidateTable table = MakeTable(servers);
   CandidateTable reversed;
   for (auto at = servers.rbegin(); at != servers.rend(); ++at) {
-    reversed.Add(at->second.mRecord, at->second.mCreated, kNow);
+    reversed.Add(at->second);
   }
   for (uint64_t hash = 1; hash < 200; ++hash) {
     const auto candidates = CandidatesOf(table, hash);
@@ -150,6 +148,7 @@
   StoredServers servers = MakeServers(45, 3);
   for (auto& [index, server] : servers) {
     server.mCreated = Revision();
+    server.mFirstCreated = Revision();
   }
   BOOST_TEST(PossibleOwners(MakeTable(servers), 5).size() == 45U);
 }
@@ -166,7 +165,7 @@
     const auto change = [&] {
       const size_t index = random.Below(60);
       if (servers.erase(index) == 0) {
-        servers[index] = { MakeRecord(index, 3), Revision(++revision) };
+        servers[index] = MakeKnown(index, 3, Revision(++revision));
       }
     };
     for (int i = 0; i < 100; ++i) {
--- a/tests/Flow/CandidatesTest.cpp
+++ b/tests/Flow/CandidatesTest.cpp
@@ -1,3 +1,5 @@
+#include <deque>
+
 #include <boost/test/unit_test.hpp>
 
 #include <snipepost/Flow/CandidateTable.h>
@@ -45,8 +47,10 @@
   Servers servers(6);
   std::vector<AgentView> views(6);
   CandidateTable table;
+  std::deque<RecordHistory::KnownRecord> known;
   for (const cluster::BackendRecord* record : servers.mRecords) {
-    table.Add(*record, cluster::Revision(1), kNow);
+    const cluster::Revision created(1);
+    table.Add(known.emplace_back(*record, created, created, kNow));
   }
   auto candidates = table.Candidates(7, "a");
   for (size_t i = 0; i < candidates.size(); ++i) {
