Flow: one place for the callers' SYN times; ForwardToQueue in two steps

The times of the SYN copies and the number of the last one stood in three files of src/Flow, and the connect timeout in one of them. SynSchedule has them all. FlowEntryCore::ForwardToQueue renewed the offer and sent the packet in one function of 40 lines; RenewQueuedOffer and SendQueuedSyn do that now.

No change of behaviour: the results of PriorityLoadTest are the same to the last digit, and all suites of test_Flow but OwnerLookupTest, which was not run, pass.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -202,6 +202,17 @@
   /// Sends a retransmitted SYN to the agent that holds the flow. False when no
   /// agent does.
   bool ForwardToQueue(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
+  /// Makes aHeld, the offer of the agent that holds the flow, pending again and
+  /// the last one of the flow; removes or ends the others.
+  static void RenewQueuedOffer(EntryFlow& aFlow,
+                               std::vector<Offer>::iterator aHeld,
+                               Instant aNow);
+  /// Sends the latest SYN with the flow's last offer, whose agent is that of
+  /// aServer, and sets the time by which the reply is due.
+  void SendQueuedSyn(const FlowTuple& aTuple,
+                     EntryFlow& aFlow,
+                     const cluster::BackendRecord& aServer,
+                     Instant aNow);
   static bool HasQueuedOffer(const EntryFlow& aFlow);
   void MakeOffer(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
   void SendOffer(const FlowTuple& aTuple,
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <snipepost/Flow/SynSchedule.h>
+
 namespace snipepost::flow {
 
 namespace {
@@ -35,9 +37,6 @@
 /// long.
 constexpr Duration kOverloadPause = std::chrono::milliseconds(500);
 
-/// Number of a caller's last SYN retransmission.
-constexpr uint32_t kLastRetransmission = 2;
-
 /// True when a retransmission of the SYN some 100 ms later may be accepted.
 bool
 IsTransient(Refusal aRefusal)
@@ -233,7 +232,7 @@
   }
   mLastOverload = aNow;
   return aNow - mOverloadSince < kShortOverload &&
-         aFlow.mSynPacket.mAcknowledgement < kLastRetransmission &&
+         aFlow.mSynPacket.mAcknowledgement < SynSchedule::kLastCopy &&
          !RetransmissionIsLate(aTuple, aFlow);
 }
 
--- a/src/Flow/FlowEntryCoreScheduling.cpp
+++ b/src/Flow/FlowEntryCoreScheduling.cpp
@@ -4,21 +4,12 @@
 #include <snipepost/Flow/FlowEntryCore.h>
 
 #include <algorithm>
-#include <array>
 #include <limits>
 #include <set>
 
-namespace snipepost::flow {
-
-namespace {
+#include <snipepost/Flow/SynSchedule.h>
 
-/// When callers retransmit a SYN, after the first one.
-constexpr std::array<Duration, 2> kRetransmissionTimes = {
-  std::chrono::milliseconds(200),
-  std::chrono::milliseconds(600),
-};
-
-} // namespace
+namespace snipepost::flow {
 
 void
 FlowEntryCore::UpdateThrottles()
@@ -115,13 +106,23 @@
   if (record == mReplica.Backends().end()) {
     return false;
   }
-  Offer offer = *held;
+  RenewQueuedOffer(aFlow, held, aNow);
+  SendQueuedSyn(aTuple, aFlow, record->second, aNow);
+  return true;
+}
+
+// Refusals of the previous SYN are outdated. When a second agent holds the
+// flow, too, its reply is still handled, but not waited for.
+void
+FlowEntryCore::RenewQueuedOffer(EntryFlow& aFlow,
+                                std::vector<Offer>::iterator aHeld,
+                                Instant aNow)
+{
+  Offer offer = *aHeld;
   offer.mState = OfferState::Pending;
   offer.mRefusal = Refusal::None;
   offer.mSentAt = aNow;
-  // Refusals of the previous SYN are outdated. When a second agent holds the
-  // flow, too, its reply is still handled, but not waited for.
-  aFlow.mOffers.erase(held);
+  aFlow.mOffers.erase(aHeld);
   std::erase_if(aFlow.mOffers, [](const Offer& aOther) {
     return aOther.mState != OfferState::Queued;
   });
@@ -129,17 +130,24 @@
     other.mState = OfferState::TimedOut;
   }
   aFlow.mOffers.push_back(offer);
-  const bool isLocal = record->second.mDomain == mOptions.mDomain;
+}
+
+void
+FlowEntryCore::SendQueuedSyn(const FlowTuple& aTuple,
+                             EntryFlow& aFlow,
+                             const cluster::BackendRecord& aServer,
+                             Instant aNow)
+{
+  const Offer& offer = aFlow.mOffers.back();
+  const bool isLocal = aServer.mDomain == mOptions.mDomain;
   const AgentView& view = mViews[offer.mAgent];
   SetDeadline(
-    aTuple, aFlow, aNow + ReplyTimeout({ &record->second, &view, isLocal, 0 }));
-  const std::string& service = record->second.mService;
+    aTuple, aFlow, aNow + ReplyTimeout({ &aServer, &view, isLocal, 0 }));
   mOutput.SendToAgent(aFlow.mSynBytes,
                       offer.mAgent,
-                      ServiceTag(service),
+                      ServiceTag(aServer.mService),
                       offer.mMark,
-                      IsScheduled(service) && ReadsWaits(view, aNow));
-  return true;
+                      IsScheduled(aServer.mService) && ReadsWaits(view, aNow));
 }
 
 // Without this, a flow that no agent can serve in time would be offered to
@@ -213,11 +221,11 @@
   const uint32_t copy = aFlow.mSynPacket.mAcknowledgement;
   if (route == mRoutes->mRoutes.end() ||
       !IsScheduled(ServiceOf(route->second, aTuple)) ||
-      copy >= kRetransmissionTimes.size()) {
+      copy >= SynSchedule::kLastCopy) {
     return false;
   }
   // The rest of the target latency is for the wait and the service.
-  return kRetransmissionTimes[copy] > route->second.mObjective / 2;
+  return SynSchedule::TimeOf(copy + 1) > route->second.mObjective / 2;
 }
 
 const FlowEntryCore::Offer*
--- a/src/Flow/FlowScheduler.cpp
+++ b/src/Flow/FlowScheduler.cpp
@@ -1,24 +1,15 @@
 #include <snipepost/Flow/FlowScheduler.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
+#include <snipepost/Flow/SynSchedule.h>
+
 namespace snipepost::flow {
 
 namespace {
 
-/// When callers send a SYN and its retransmissions, after the first one.
-constexpr std::array<Duration, 3> kSynTimes = {
-  std::chrono::milliseconds(0),
-  std::chrono::milliseconds(200),
-  std::chrono::milliseconds(600),
-};
-
-/// Time for which a caller waits for a SYN-ACK.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(1400);
-
-/// The part of kConnectTimeout that a late handshake may take.
+/// The part of SynSchedule::kConnectTimeout that a late handshake may take.
 constexpr Duration kHandshakeReserve = std::chrono::milliseconds(100);
 
 /// Service times vary around their mean; without a margin, half of the requests
@@ -33,9 +24,7 @@
 Instant
 FirstSynTime(const Packet& aSyn, Instant aNow)
 {
-  const size_t copy =
-    std::min<size_t>(aSyn.mAcknowledgement, kSynTimes.size() - 1);
-  return aNow - kSynTimes[copy];
+  return aNow - SynSchedule::TimeOf(aSyn.mAcknowledgement);
 }
 
 bool
@@ -127,7 +116,7 @@
   flow.mDeadline = firstSyn + route->second.mObjective;
   flow.mResponseLimit = firstSyn + std::chrono::duration_cast<Duration>(
                                      route->second.mObjective * kTargetShare);
-  flow.mExpires = firstSyn + kConnectTimeout - kHandshakeReserve;
+  flow.mExpires = firstSyn + SynSchedule::kConnectTimeout - kHandshakeReserve;
   flow.mSlotTime = mCapacity.ServiceTime(aSyn.mDestination);
   flow.mTimeToResponse = TimeToResponse(aSyn.mDestination, aLoad, aNow);
   return flow;
