Flow: the throttle shares what it lets through among callers

While a service was throttled, each flow was refused with the same probability, so a caller with many requests took the capacity from those with few. CallerShares counts the flows of each caller in 64 hashed buckets (time constant 1 s) and refuses the flows of a bucket above the max-min fair level; the share of all flows that is refused remains the throttle's.

The model in OverloadThrottleTest visited the entry instances in order, so that the first ones got the free capacity of each millisecond. Each flow now arrives at a random instance; the limits of its checks are unchanged.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -46,7 +46,8 @@
   /// Agents may hold SYNs, and new flows are throttled during overload, for
   /// services whose routes have different priorities.
   bool mScheduleFlows = true;
-  /// Seed of the random numbers that decide which flows are throttled.
+  /// Seed of the random numbers that decide which flows are throttled, and of
+  /// the hash by which callers are counted; differs between instances.
   uint64_t mSeed = 1;
 };
 
--- a/src/Flow/FlowEntryCoreScheduling.cpp
+++ b/src/Flow/FlowEntryCoreScheduling.cpp
@@ -32,7 +32,7 @@
   });
   for (const auto& [service, values] : priorities) {
     if (isScheduled(service)) {
-      mThrottles.try_emplace(service);
+      mThrottles.try_emplace(service, mOptions.mSeed);
     }
   }
 }
@@ -50,7 +50,8 @@
     const uint32_t priority = route->second.mPriority;
     const auto throttle = mThrottles.find(ServiceOf(route->second, aTuple));
     if (throttle != mThrottles.end() &&
-        throttle->second.Refuses(priority, mRandom.Fraction(), aNow)) {
+        throttle->second.Refuses(
+          priority, CallerIp(aTuple.mCaller.mIp), mRandom.Fraction(), aNow)) {
       throttle->second.OnThrottled(priority, aNow);
       Reject(aTuple, aFlow, "overloaded", aNow);
       return;
--- a/src/Flow/OverloadThrottle.cpp
+++ b/src/Flow/OverloadThrottle.cpp
@@ -42,22 +42,38 @@
   return mValue > 0.0 && aNow - mValueAt <= kMaxAge;
 }
 
+OverloadThrottle::OverloadThrottle(uint64_t aSeed)
+  : mSeed(aSeed)
+{
+}
+
+OverloadThrottle::Counts&
+OverloadThrottle::CountsOf(uint32_t aPriority)
+{
+  const auto found = mCounts.find(aPriority);
+  if (found != mCounts.end()) {
+    return found->second;
+  }
+  return mCounts.emplace(aPriority, Counts{ {}, {}, {}, CallerShares(mSeed) })
+    .first->second;
+}
+
 void
 OverloadThrottle::OnDecided(uint32_t aPriority, Instant aNow)
 {
-  mCounts[aPriority].mDecided.Increment(aNow);
+  CountsOf(aPriority).mDecided.Increment(aNow);
 }
 
 void
 OverloadThrottle::OnAccepted(uint32_t aPriority, Instant aNow)
 {
-  mCounts[aPriority].mAccepted.Increment(aNow);
+  CountsOf(aPriority).mAccepted.Increment(aNow);
 }
 
 void
 OverloadThrottle::OnThrottled(uint32_t aPriority, Instant aNow)
 {
-  mCounts[aPriority].mThrottled.Increment(aNow);
+  CountsOf(aPriority).mThrottled.Increment(aNow);
 }
 
 bool
@@ -77,24 +93,37 @@
   return std::min(1.0, kOfferedPerAccepted * refused / std::max(1.0, decided));
 }
 
-bool
-OverloadThrottle::Refuses(uint32_t aPriority,
-                          double aRandom,
-                          Instant aNow) const
+double
+OverloadThrottle::RefusalProbability(uint32_t aPriority,
+                                     const Counts& aCounts,
+                                     Instant aNow) const
 {
-  const auto found = mCounts.find(aPriority);
   // Throttled flows alone would keep the throttle closed without end, for
   // example in an instance that reaches no agent.
-  if (found == mCounts.end() || !found->second.mDecided.IsRecent(aNow) ||
-      AcceptsLessUrgent(aPriority, aNow)) {
-    return false;
+  if (!aCounts.mDecided.IsRecent(aNow) || AcceptsLessUrgent(aPriority, aNow)) {
+    return 0.0;
   }
-  const Counts& counts = found->second;
-  const double requests = counts.mDecided.At(aNow) + counts.mThrottled.At(aNow);
-  const double accepted = counts.mAccepted.At(aNow);
+  const double requests =
+    aCounts.mDecided.At(aNow) + aCounts.mThrottled.At(aNow);
+  const double accepted = aCounts.mAccepted.At(aNow);
   const double share =
     (requests - kOfferedPerAccepted * accepted) / (requests + 1.0);
-  return aRandom < share * RefusedShare(counts, aNow);
+  return share * RefusedShare(aCounts, aNow);
+}
+
+bool
+OverloadThrottle::Refuses(uint32_t aPriority,
+                          CallerIp aCaller,
+                          double aRandom,
+                          Instant aNow)
+{
+  Counts& counts = CountsOf(aPriority);
+  const double refused = RefusalProbability(aPriority, counts, aNow);
+  const bool refuses =
+    refused > 0.0 &&
+    aRandom < counts.mCallers.RefusalProbability(aCaller, refused, aNow);
+  counts.mCallers.OnFlow(aCaller, aNow);
+  return refuses;
 }
 
 } // namespace snipepost::flow
--- a/tests/Flow/OverloadThrottleTest.cpp
+++ b/tests/Flow/OverloadThrottleTest.cpp
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <array>
 #include <queue>
+#include <vector>
 
 #include <snipepost/Base/Random.h>
 #include <snipepost/Flow/OverloadThrottle.h>
@@ -15,35 +15,56 @@
 
 constexpr uint32_t kPriority = 1;
 constexpr double kCapacityPerMs = 1.5;
-constexpr uint32_t kEntries = 20;
+constexpr size_t kEntries = 20;
+constexpr CallerIp kCallerIp{ 0x64400007 };
 
 struct Tally
 {
   size_t mThrottled = 0;
   size_t mAccepted = 0;
   size_t mRefused = 0;
+  /// Accepted flows by caller.
+  std::vector<size_t> mAcceptedOf;
 };
 
-/// 20 entry instances that offer flows to a capacity that they share. One reply
-/// in 20 is lost, and one in 20 arrives 100 ms late.
+struct Scale
+{
+  size_t mEntries = 0;
+  /// As a multiple of the capacity.
+  double mLoad = 0.0;
+};
+
+/// Entry instances that offer flows to a capacity that they share. One reply in
+/// 20 is lost, and one in 20 arrives 100 ms late. The flows come from aCallers
+/// callers, of which the first one has aFirstRate times the rate of each other,
+/// and each through a random instance.
 class ThrottleModel
 {
 public:
-  explicit ThrottleModel(uint64_t aSeed)
+  explicit ThrottleModel(uint64_t aSeed,
+                         size_t aCallers = 200,
+                         size_t aFirstRate = 1,
+                         size_t aEntries = kEntries)
     : mRandom(aSeed)
+    , mCallers(aCallers)
+    , mFirstRate(aFirstRate)
   {
+    for (size_t entry = 0; entry < aEntries; ++entry) {
+      mThrottles.emplace_back(aSeed * aEntries + entry);
+    }
   }
 
   /// Runs for aTime with aLoad times the capacity.
   Tally Run(Duration aTime, double aLoad)
   {
     Tally tally;
+    tally.mAcceptedOf.resize(mCallers);
     for (const Instant end = mNow + aTime; mNow < end; mNow += 1ms) {
       mFree = std::min(mFree + kCapacityPerMs, 30.0);
       DeliverReplies();
-      for (size_t entry = 0; entry < mThrottles.size(); ++entry) {
-        if (mRandom.Chance(aLoad * kCapacityPerMs / kEntries)) {
-          AddFlow(entry, tally);
+      for (double flows = aLoad * kCapacityPerMs; flows > 0.0; flows -= 1.0) {
+        if (mRandom.Chance(std::min(flows, 1.0))) {
+          AddFlow(mRandom.Below(mThrottles.size()), tally);
         }
       }
     }
@@ -63,7 +84,11 @@
   void AddFlow(size_t aEntry, Tally& aTally)
   {
     OverloadThrottle& throttle = mThrottles.at(aEntry);
-    if (throttle.Refuses(kPriority, mRandom.Fraction(), mNow)) {
+    const uint64_t point = mRandom.Below(mCallers - 1 + mFirstRate);
+    const auto caller =
+      static_cast<uint32_t>(point < mFirstRate ? 0 : point - mFirstRate + 1);
+    if (throttle.Refuses(
+          kPriority, CallerIp(caller), mRandom.Fraction(), mNow)) {
       throttle.OnThrottled(kPriority, mNow);
       ++aTally.mThrottled;
       return;
@@ -71,6 +96,7 @@
     const bool accepted = mFree >= 1.0;
     mFree -= accepted ? 1.0 : 0.0;
     ++(accepted ? aTally.mAccepted : aTally.mRefused);
+    aTally.mAcceptedOf[caller] += accepted;
     if (!mRandom.Chance(.05)) {
       const auto late = mRandom.Chance(.05) ? 100ms : 0ms;
       const auto delay = std::chrono::milliseconds(1 + mRandom.Below(9));
@@ -92,7 +118,9 @@
   Random mRandom;
   Instant mNow{ 10s };
   double mFree = 30.0;
-  std::array<OverloadThrottle, kEntries> mThrottles;
+  size_t mCallers;
+  size_t mFirstRate;
+  std::vector<OverloadThrottle> mThrottles;
   std::priority_queue<Reply> mReplies;
 };
 
@@ -155,33 +183,62 @@
 // it was frozen or partitioned. In a partition its own refusals go on.
 BOOST_AUTO_TEST_CASE(CountsWithoutAnAgentsDecisionForASecondHaveNoEffect)
 {
-  OverloadThrottle throttle;
+  OverloadThrottle throttle(1);
   Instant now{ 10s };
   for (int i = 0; i < 100; ++i) {
     throttle.OnDecided(kPriority, now);
   }
-  BOOST_TEST(throttle.Refuses(kPriority, .5, now));
+  BOOST_TEST(throttle.Refuses(kPriority, kCallerIp, .5, now));
   for (int i = 0; i < 1001; ++i) {
     now += 1ms;
     throttle.OnThrottled(kPriority, now);
   }
-  BOOST_TEST(!throttle.Refuses(kPriority, 0.0, now));
+  BOOST_TEST(!throttle.Refuses(kPriority, kCallerIp, 0.0, now));
 }
 
 // Guards against urgent flows that are refused while agents still accept less
 // urgent ones.
 BOOST_AUTO_TEST_CASE(MoreUrgentThanAnAcceptedPriorityIsNotThrottled)
 {
-  OverloadThrottle throttle;
+  OverloadThrottle throttle(1);
   const Instant now{ 10s };
   for (int i = 0; i < 100; ++i) {
     throttle.OnDecided(1, now);
     throttle.OnDecided(2, now);
   }
-  BOOST_TEST(throttle.Refuses(1, .5, now));
+  BOOST_TEST(throttle.Refuses(1, kCallerIp, .5, now));
   throttle.OnAccepted(2, now);
-  BOOST_TEST(!throttle.Refuses(1, 0.0, now));
-  BOOST_TEST(throttle.Refuses(2, .5, now));
+  BOOST_TEST(!throttle.Refuses(1, kCallerIp, 0.0, now));
+  BOOST_TEST(throttle.Refuses(2, kCallerIp, .5, now));
+}
+
+// Guards against callers that are refused because of one that sends ten times
+// as much, and against a heavy caller that gets less than the others.
+BOOST_AUTO_TEST_CASE(OneCallerAtTenTimesTheRateLeavesTheOthersTheirShares)
+{
+  constexpr size_t kCallers = 31;
+  // Without an effect of CallerShares the others get 78 % of their shares.
+  for (const auto& [entries, load] :
+       { Scale{ 20, 4 }, { 20, 6 }, { 100, 6 } }) {
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+      ThrottleModel model(seed, kCallers, 10, entries);
+      model.Run(2s, load);
+      const Tally tally = model.Run(20s, load);
+      const auto heavy = static_cast<double>(tally.mAcceptedOf[0]);
+      const auto accepted = static_cast<double>(tally.mAccepted);
+      // All callers want more than this.
+      const double share = accepted / kCallers;
+      const double others = (accepted - heavy) / (kCallers - 1);
+      BOOST_TEST_MESSAGE(entries << " instances, load " << load << ": others "
+                                 << others / share << " of their shares, heavy "
+                                 << heavy / share);
+      BOOST_TEST(others > .9 * share);
+      BOOST_TEST(others < 1.1 * share);
+      BOOST_TEST(heavy >= share);
+      // The total is the throttle's: offers do not grow.
+      BOOST_TEST(static_cast<double>(tally.mRefused) < accepted * 1.35);
+    }
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Flow/QueuedOfferTest.cpp
+++ b/tests/Flow/QueuedOfferTest.cpp
@@ -352,6 +352,27 @@
   BOOST_TEST(Throttled() == throttled);
 }
 
+// Guards against flows that are throttled because of another caller: the
+// throttle has to be told the caller's IP address.
+BOOST_AUTO_TEST_CASE(ACallerIsNotThrottledBecauseOfAnother)
+{
+  for (int i = 0; i < 15; ++i) {
+    ++mCaller.mPort;
+    SendSyn();
+    Reply(mSent.back().mAgent, Refusal::None);
+  }
+  for (int i = 0; i < 30; ++i) {
+    SendRefusedFlow();
+  }
+  const size_t throttled = Throttled();
+  BOOST_TEST(throttled > 0U);
+  ++mCaller.mIp;
+  for (int i = 0; i < 10; ++i, ++mCaller.mPort) {
+    SendSyn();
+  }
+  BOOST_TEST(Throttled() == throttled);
+}
+
 // Guards against a burst that is throttled before any agent has replied, and
 // against queued flows that count as refused or twice.
 BOOST_AUTO_TEST_CASE(QueuedAndUnansweredFlowsAreNoSignOfOverload)
