Flow tests: the check of fair shares without a redundant limit

The heavy caller gets at least its share exactly if the others together get at most theirs, so their upper limit checked nothing further.

--- a/tests/Flow/OverloadThrottleTest.cpp
+++ b/tests/Flow/OverloadThrottleTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <queue>
+#include <utility>
 #include <vector>
 
 #include <snipepost/Base/Random.h>
@@ -27,13 +28,6 @@
   std::vector<size_t> mAcceptedOf;
 };
 
-struct Scale
-{
-  size_t mEntries = 0;
-  /// As a multiple of the capacity.
-  double mLoad = 0.0;
-};
-
 /// Entry instances that offer flows to a capacity that they share. One reply in
 /// 20 is lost, and one in 20 arrives 100 ms late. The flows come from aCallers
 /// callers, of which the first one has aFirstRate times the rate of each other,
@@ -213,27 +207,27 @@
 }
 
 // Guards against callers that are refused because of one that sends ten times
-// as much, and against a heavy caller that gets less than the others.
+// as much, and against a heavy caller that gets less than the others. Every
+// caller's demand is above its share.
 BOOST_AUTO_TEST_CASE(OneCallerAtTenTimesTheRateLeavesTheOthersTheirShares)
 {
   constexpr size_t kCallers = 31;
   // Without an effect of CallerShares the others get 78 % of their shares.
+  using Scale = std::pair<size_t, double>;
   for (const auto& [entries, load] :
-       { Scale{ 20, 4 }, { 20, 6 }, { 100, 6 } }) {
+       { Scale{ 20, 4.0 }, { 20, 6.0 }, { 100, 6.0 } }) {
     for (uint64_t seed = 1; seed <= 3; ++seed) {
       ThrottleModel model(seed, kCallers, 10, entries);
       model.Run(2s, load);
       const Tally tally = model.Run(20s, load);
       const auto heavy = static_cast<double>(tally.mAcceptedOf[0]);
       const auto accepted = static_cast<double>(tally.mAccepted);
-      // All callers want more than this.
       const double share = accepted / kCallers;
       const double others = (accepted - heavy) / (kCallers - 1);
       BOOST_TEST_MESSAGE(entries << " instances, load " << load << ": others "
                                  << others / share << " of their shares, heavy "
                                  << heavy / share);
       BOOST_TEST(others > .9 * share);
-      BOOST_TEST(others < 1.1 * share);
       BOOST_TEST(heavy >= share);
       // The total is the throttle's: offers do not grow.
       BOOST_TEST(static_cast<double>(tally.mRefused) < accepted * 1.35);
