Flow: flows of a full service are offered to the route's other services

A service with a weight in a route refused flows while the route's other service had capacity: only agents of the service that the weights choose were asked.

An offer remembers the tag of the service that was asked, so that SYN copies, throttles and the choice of a busy agent use the right one. Owner lookups are unchanged: they ask the candidates of all services already.

--- a/include/snipepost/Flow/Decision.h
+++ b/include/snipepost/Flow/Decision.h
@@ -46,6 +46,9 @@
 std::string_view
 ToString(Verdict aVerdict);
 
+/// Decision::mReason of decisions about an agent that a flow was passed on to.
+constexpr std::string_view kOverflowReason = "overflow";
+
 /// A decision and its inputs.
 struct Decision
 {
@@ -63,6 +66,9 @@
   /// Time since the flow's first SYN.
   Duration mElapsed{};
   std::string_view mReason;
+  /// Service of the agent, when the flow was passed on to it from the service
+  /// that the weights of the route choose; otherwise empty.
+  std::string_view mService;
 };
 
 /// Receives a node's decisions, for the log and the metrics.
--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include <snipepost/Cluster/Replica.h>
 #include <snipepost/Flow/CandidateTable.h>
 #include <snipepost/Flow/Decision.h>
+#include <snipepost/Flow/Offer.h>
 #include <snipepost/Flow/OverloadThrottle.h>
 #include <snipepost/Flow/Packet.h>
 
@@ -46,18 +48,22 @@
   /// Agents may hold SYNs, and new flows are throttled during overload, for
   /// services whose routes have different priorities.
   bool mScheduleFlows = true;
+  /// A flow that the service chosen by the weights of its route has no capacity
+  /// for is offered to the other services of the route.
+  bool mOverflowBetweenServices = true;
   /// Seed of the random numbers that decide which flows are throttled.
   uint64_t mSeed = 1;
 };
 
 /// The decisions of an entry instance. A SYN is offered to one agent after
 /// another: to the best candidate first, and to the next one when the agent
-/// refuses or does not reply within some milliseconds. Later packets go to the
-/// agent that accepted the flow. For a flow that another entry instance placed,
-/// packets are sent to the possible owners until the owner identifies itself;
-/// when every one of them has excluded itself, the owner has ended and the flow
-/// is reset. All state is soft: any entry instance can continue any flow. Does
-/// no I/O; the time is an argument.
+/// refuses or does not reply within some milliseconds. When the service that
+/// the weights of a route choose has no capacity, other services of the route
+/// are asked. Later packets go to the agent that accepted the flow. For a flow
+/// that another entry instance placed, packets are sent to the possible owners
+/// until the owner identifies itself; when every one of them has excluded
+/// itself, the owner has ended and the flow is reset. All state is soft: any
+/// entry instance can continue any flow. Does no I/O; the time is an argument.
 class FlowEntryCore
 {
 public:
@@ -69,6 +75,10 @@
   /// do not reply.
   static constexpr size_t kMaxOffers = 5;
 
+  /// Those of them that are kept for other services of the route than the
+  /// weights choose.
+  static constexpr size_t kOverflowOffers = 2;
+
   FlowEntryCore(EntryOptions aOptions,
                 const cluster::Replica& aReplica,
                 EntryOutput& aOutput,
@@ -114,27 +124,6 @@
   size_t AvoidedAgents(Instant aNow) const;
 
 private:
-  enum class OfferState
-  {
-    Pending,
-    /// The agent holds the SYN and will accept or refuse it in another reply.
-    Queued,
-    TimedOut,
-    Accepted,
-    Refused,
-  };
-
-  struct Offer
-  {
-    Address mAgent;
-    Instant mSentAt;
-    OfferState mState = OfferState::Pending;
-    Refusal mRefusal = Refusal::None;
-    TransitMark mMark = TransitMark::OfferIfFree;
-    uint32_t mBackendSequence = 0;
-    double mLoad = 0.0;
-  };
-
   /// Search for the owner of a flow that another instance placed.
   struct OwnerLookup
   {
@@ -175,9 +164,18 @@
     /// The SYN was rejected here. The flow may be open all the same: another
     /// entry instance may have placed an earlier copy of the SYN.
     bool mRejected = false;
-    /// Counted by the throttle of the flow's service.
+    /// Counted by the throttle of the service with mCountedTag, the last one
+    /// that was counted.
     bool mCountedDecided = false;
     bool mCountedAccepted = false;
+    /// The throttle of the service that the weights choose refused the current
+    /// SYN, which is offered only to other services of the route.
+    bool mThrottled = false;
+    /// No agent of another service can be offered the current SYN.
+    bool mOthersUnavailable = false;
+    /// The current SYN was offered to another service than the weights choose.
+    bool mOverflowed = false;
+    uint32_t mCountedTag = 0;
     /// Every possible owner has excluded itself.
     bool mOwnerEnded = false;
     bool mClosing = false;
@@ -204,6 +202,40 @@
   bool ForwardToQueue(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
   static bool HasQueuedOffer(const EntryFlow& aFlow);
   void MakeOffer(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
+  /// Makes the next offer to an agent of the service. False when none is left.
+  bool OfferToService(const FlowTuple& aTuple,
+                      EntryFlow& aFlow,
+                      const cluster::Route& aRoute,
+                      const std::string& aService,
+                      const OfferLimits& aLimits,
+                      Instant aNow);
+  /// True when flows of the route may be passed on to another service of it.
+  bool CanOverflow(const cluster::Route& aRoute) const;
+  /// Makes the next offer to an agent of a service that the weights did not
+  /// choose, in the order of weight. False when none is left.
+  bool OfferToOtherServices(const FlowTuple& aTuple,
+                            EntryFlow& aFlow,
+                            const cluster::Route& aRoute,
+                            Instant aNow);
+  /// Offers a flow that its throttle refused to the other services of its
+  /// route, or resets it.
+  void PassOnThrottled(const FlowTuple& aTuple,
+                       EntryFlow& aFlow,
+                       const cluster::Route& aRoute,
+                       Instant aNow);
+  /// True when the offer was made to an agent of the service.
+  static bool IsOfferTo(const EntryFlow& aFlow,
+                        const Offer& aOffer,
+                        const std::string& aService);
+  /// Name of the service with the tag that the route's flow was offered to;
+  /// null when the route no longer has it.
+  static const std::string* ServiceWithTag(const cluster::Route& aRoute,
+                                           uint32_t aServiceTag);
+  /// Name of the service of an agent that the flow was passed on to; empty for
+  /// others.
+  std::string_view OverflowService(const FlowTuple& aTuple,
+                                   const EntryFlow& aFlow,
+                                   const Address& aAgent) const;
   void SendOffer(const FlowTuple& aTuple,
                  EntryFlow& aFlow,
                  const Candidate& aCandidate,
@@ -212,6 +244,7 @@
   /// Removes the candidates that would refuse the flow: their reported waits
   /// are at least as long as that of an agent that has refused it as full.
   void RemoveRefusing(const EntryFlow& aFlow,
+                      const std::string& aService,
                       uint32_t aPriority,
                       std::vector<Candidate>& aCandidates,
                       Instant aNow) const;
@@ -330,6 +363,14 @@
                  Instant aNow);
   /// Handles an offer whose reply did not arrive in time.
   void OnReplyTimeout(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
+  /// Counts the flow as refused by the service that was asked last if an agent
+  /// of it was full.
+  void CountRefusal(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
+  /// True when the throttle of the service refuses the first SYN of a flow.
+  bool IsThrottled(const EntryFlow& aFlow,
+                   const std::string& aService,
+                   uint32_t aPriority,
+                   Instant aNow);
   /// Determines the services whose flows are scheduled.
   void UpdateThrottles();
   /// True when the flows of the service are scheduled by priority.
@@ -337,10 +378,11 @@
   {
     return mThrottles.contains(aService);
   }
-  /// Counts the flow in the throttle of its service, once as a request and once
-  /// as accepted.
+  /// Counts the flow in the throttle of the service with aServiceTag, once as a
+  /// request and once as accepted.
   void CountOutcome(const FlowTuple& aTuple,
                     EntryFlow& aFlow,
+                    uint32_t aServiceTag,
                     bool aAccepted,
                     Instant aNow);
   void RebuildTables(Instant aNow);
--- a/src/Flow/FlowEntryCore.cpp
+++ b/src/Flow/FlowEntryCore.cpp
@@ -119,6 +119,9 @@
     mOutput.SendReset(aFlow.mSynPacket);
     return;
   }
+  // The service that the weights choose is asked first again.
+  aFlow.mThrottled = false;
+  aFlow.mOthersUnavailable = false;
   if (!mReplica.Complete()) {
     return; // The flow is still deferred.
   }
@@ -126,12 +129,11 @@
   // and the backend server retransmits it.
   for (const Offer& offer : aFlow.mOffers) {
     if (offer.mState == OfferState::Accepted) {
-      const auto route = mRoutes->mRoutes.find(aTuple.mService);
-      const uint32_t tag = route == mRoutes->mRoutes.end()
-                             ? 0
-                             : ServiceTag(ServiceOf(route->second, aTuple));
-      mOutput.SendToAgent(
-        aFlow.mSynBytes, offer.mAgent, tag, TransitMark::OfferFinal, false);
+      mOutput.SendToAgent(aFlow.mSynBytes,
+                          offer.mAgent,
+                          offer.mServiceTag,
+                          TransitMark::OfferFinal,
+                          false);
       return;
     }
   }
@@ -141,6 +143,7 @@
   // The retransmission follows after 200 ms or more: refusals of the previous
   // SYN are outdated, and an agent that did not reply may have restarted.
   aFlow.mOffers.clear();
+  aFlow.mOverflowed = false;
   MakeOffer(aTuple, aFlow, aNow);
 }
 
@@ -286,6 +289,12 @@
   decision.mRefusal = aRefusal;
   decision.mElapsed = aNow - aFlow.mOpenedAt;
   decision.mReason = aReason;
+  if (aFlow.mOverflowed) {
+    decision.mService = OverflowService(aTuple, aFlow, aPeer);
+    if (!decision.mService.empty()) {
+      decision.mReason = kOverflowReason;
+    }
+  }
   const auto view = mViews.find(aPeer);
   if (view != mViews.end()) {
     decision.mLoad = view->second.mLoad;
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -38,14 +38,6 @@
 /// Number of a caller's last SYN retransmission.
 constexpr uint32_t kLastRetransmission = 2;
 
-/// True when a retransmission of the SYN some 100 ms later may be accepted.
-bool
-IsTransient(Refusal aRefusal)
-{
-  return aRefusal == Refusal::NotReady || aRefusal == Refusal::Silent ||
-         aRefusal == Refusal::Cold;
-}
-
 } // namespace
 
 std::vector<Candidate>
@@ -89,34 +81,68 @@
     Reject(aTuple, aFlow, "route-removed", aNow);
     return;
   }
-  const std::string& service = ServiceOf(route->second, aTuple);
-  auto candidates = EligibleCandidates(aTuple, aFlow, service);
-  if (IsScheduled(service)) {
-    RemoveRefusing(aFlow, route->second.mPriority, candidates, aNow);
-    if (OfferForQueueing(aTuple, aFlow, route->second, candidates, aNow)) {
+  const bool canOverflow = CanOverflow(route->second);
+  const auto offerToChosen = [&](size_t aAgents) {
+    return !aFlow.mThrottled && OfferToService(aTuple,
+                                               aFlow,
+                                               route->second,
+                                               ServiceOf(route->second, aTuple),
+                                               { aAgents, kFreeSlotOffers },
+                                               aNow);
+  };
+  if (offerToChosen(canOverflow ? kMaxOffers - kOverflowOffers : kMaxOffers)) {
+    return;
+  }
+  if (canOverflow) {
+    if (OfferToOtherServices(aTuple, aFlow, route->second, aNow)) {
       return;
     }
+    // No agent of another service could be asked.
+    if (!aFlow.mOverflowed && offerToChosen(kMaxOffers)) {
+      return;
+    }
+  }
+  FailPlacement(aTuple, aFlow, aNow);
+}
+
+bool
+FlowEntryCore::OfferToService(const FlowTuple& aTuple,
+                              EntryFlow& aFlow,
+                              const cluster::Route& aRoute,
+                              const std::string& aService,
+                              const OfferLimits& aLimits,
+                              Instant aNow)
+{
+  auto candidates = EligibleCandidates(aTuple, aFlow, aService);
+  const size_t made = aFlow.mOverflowed
+                        ? OffersTo(aFlow.mOffers, ServiceTag(aService))
+                        : aFlow.mOffers.size();
+  const bool offersLeft =
+    made < aLimits.mAgents && aFlow.mOffers.size() < kMaxOffers;
+  if (IsScheduled(aService)) {
+    RemoveRefusing(aFlow, aService, aRoute.mPriority, candidates, aNow);
+    if (offersLeft &&
+        OfferForQueueing(aTuple, aFlow, aRoute, candidates, aNow)) {
+      return true;
+    }
   }
-  const size_t made = aFlow.mOffers.size();
   // Enough agents were busy: the best of them is offered the flow for queueing.
   if (made >= kFreeSlotOffers &&
-      OfferToBusyAgent(aTuple, aFlow, service, aNow)) {
-    return;
+      OfferToBusyAgent(aTuple, aFlow, aService, aNow)) {
+    return true;
   }
-  const auto best =
-    made < kMaxOffers ? BestCandidate(candidates, aNow) : std::nullopt;
-  if (best) {
-    const bool isFinal = made >= kFreeSlotOffers || candidates.size() == 1;
-    SendOffer(aTuple,
-              aFlow,
-              candidates[*best],
-              isFinal ? TransitMark::OfferFinal : TransitMark::OfferIfFree,
-              aNow);
-    return;
-  }
-  if (!OfferToBusyAgent(aTuple, aFlow, service, aNow)) {
-    FailPlacement(aTuple, aFlow, aNow);
+  const auto best = offersLeft ? BestCandidate(candidates, aNow) : std::nullopt;
+  if (!best) {
+    return OfferToBusyAgent(aTuple, aFlow, aService, aNow);
   }
+  const bool isFinal =
+    made >= aLimits.mFreeSlotOffers || candidates.size() == 1;
+  SendOffer(aTuple,
+            aFlow,
+            candidates[*best],
+            isFinal ? TransitMark::OfferFinal : TransitMark::OfferIfFree,
+            aNow);
+  return true;
 }
 
 bool
@@ -162,13 +188,14 @@
 {
   const Address& agent = aCandidate.mRecord->mAgent;
   AgentView& view = mViews[agent];
+  const std::string& service = aCandidate.mRecord->mService;
+  const uint32_t tag = ServiceTag(service);
   aFlow.mOffers.push_back(
-    { agent, aNow, OfferState::Pending, Refusal::None, aMark, 0, 0.0 });
+    { agent, aNow, OfferState::Pending, Refusal::None, aMark, 0, tag, 0.0 });
   SetDeadline(aTuple, aFlow, aNow + ReplyTimeout(aCandidate));
-  const std::string& service = aCandidate.mRecord->mService;
   mOutput.SendToAgent(aFlow.mSynBytes,
                       agent,
-                      ServiceTag(service),
+                      tag,
                       aMark,
                       IsScheduled(service) && ReadsWaits(view, aNow));
   ReportDecision(
@@ -182,15 +209,7 @@
                              EntryFlow& aFlow,
                              Instant aNow)
 {
-  const bool mayStillBeAccepted =
-    std::ranges::any_of(aFlow.mOffers, [](const Offer& aOffer) {
-      return aOffer.mState == OfferState::Pending ||
-             aOffer.mState == OfferState::Queued ||
-             aOffer.mState == OfferState::TimedOut ||
-             aOffer.mState == OfferState::Accepted ||
-             IsTransient(aOffer.mRefusal);
-    });
-  if (mayStillBeAccepted) {
+  if (MayStillBeAccepted(aFlow.mOffers)) {
     ReportDecision(Verdict::Dropped,
                    aTuple,
                    aFlow,
@@ -204,10 +223,11 @@
     std::ranges::any_of(aFlow.mOffers, [](const Offer& aOffer) {
       return aOffer.mRefusal == Refusal::Full;
     });
-  if (overloaded) {
-    CountOutcome(aTuple, aFlow, false, aNow);
-  }
-  if (overloaded && ExpectsRetransmission(aTuple, aFlow, aNow)) {
+  CountRefusal(aTuple, aFlow, aNow);
+  // A flow that several services refused is reset at once, so that its caller's
+  // retry can still be served in time.
+  if (overloaded && ExpectsRetransmission(aTuple, aFlow, aNow) &&
+      !aFlow.mOverflowed) {
     ReportDecision(Verdict::Dropped,
                    aTuple,
                    aFlow,
--- a/src/Flow/FlowEntryCoreReplies.cpp
+++ b/src/Flow/FlowEntryCoreReplies.cpp
@@ -50,7 +50,7 @@
 
 } // namespace
 
-FlowEntryCore::Offer*
+Offer*
 FlowEntryCore::FindOffer(EntryFlow& aFlow, cluster::NodeIp aAgent)
 {
   const auto found =
@@ -126,7 +126,7 @@
     aFlow.mOwner = aOffer.mAgent;
   }
   SetDeadline(aReply.mFlow, aFlow, std::nullopt);
-  CountOutcome(aReply.mFlow, aFlow, true, aNow);
+  CountOutcome(aReply.mFlow, aFlow, aOffer.mServiceTag, true, aNow);
   ReportDecision(Verdict::Placed,
                  aReply.mFlow,
                  aFlow,
@@ -147,7 +147,7 @@
   if (&aOffer == &aFlow.mOffers.back()) {
     SetDeadline(aReply.mFlow, aFlow, std::nullopt);
   }
-  CountOutcome(aReply.mFlow, aFlow, true, aNow);
+  CountOutcome(aReply.mFlow, aFlow, aOffer.mServiceTag, true, aNow);
   ReportDecision(Verdict::Queued,
                  aReply.mFlow,
                  aFlow,
--- a/src/Flow/FlowEntryCoreScheduling.cpp
+++ b/src/Flow/FlowEntryCoreScheduling.cpp
@@ -52,25 +52,53 @@
                               Instant aNow)
 {
   const auto route = mRoutes->mRoutes.find(aTuple.mService);
-  // An agent may hold an earlier copy of a retransmitted SYN, which another
-  // entry instance offered to it.
   if (route != mRoutes->mRoutes.end() &&
-      aFlow.mSynPacket.mAcknowledgement == 0) {
-    const uint32_t priority = route->second.mPriority;
-    const auto throttle = mThrottles.find(ServiceOf(route->second, aTuple));
-    if (throttle != mThrottles.end() &&
-        throttle->second.Refuses(priority, mRandom.Fraction(), aNow)) {
-      throttle->second.OnThrottled(priority, aNow);
-      Reject(aTuple, aFlow, "overloaded", aNow);
-      return;
-    }
+      IsThrottled(aFlow,
+                  ServiceOf(route->second, aTuple),
+                  route->second.mPriority,
+                  aNow)) {
+    PassOnThrottled(aTuple, aFlow, route->second, aNow);
+    return;
   }
   MakeOffer(aTuple, aFlow, aNow);
 }
 
+bool
+FlowEntryCore::IsThrottled(const EntryFlow& aFlow,
+                           const std::string& aService,
+                           uint32_t aPriority,
+                           Instant aNow)
+{
+  // An agent may hold an earlier copy of a retransmitted SYN, which another
+  // entry instance offered to it.
+  if (aFlow.mSynPacket.mAcknowledgement != 0) {
+    return false;
+  }
+  const auto throttle = mThrottles.find(aService);
+  if (throttle == mThrottles.end() ||
+      !throttle->second.Refuses(aPriority, mRandom.Fraction(), aNow)) {
+    return false;
+  }
+  throttle->second.OnThrottled(aPriority, aNow);
+  return true;
+}
+
+void
+FlowEntryCore::CountRefusal(const FlowTuple& aTuple,
+                            EntryFlow& aFlow,
+                            Instant aNow)
+{
+  const uint32_t tag =
+    aFlow.mOffers.empty() ? 0 : aFlow.mOffers.back().mServiceTag;
+  if (WasFull(aFlow.mOffers, tag)) {
+    CountOutcome(aTuple, aFlow, tag, false, aNow);
+  }
+}
+
 void
 FlowEntryCore::CountOutcome(const FlowTuple& aTuple,
                             EntryFlow& aFlow,
+                            uint32_t aServiceTag,
                             bool aAccepted,
                             Instant aNow)
 {
@@ -78,10 +106,16 @@
   if (mThrottles.empty() || route == mRoutes->mRoutes.end()) {
     return;
   }
-  const auto throttle = mThrottles.find(ServiceOf(route->second, aTuple));
+  const std::string* service = ServiceWithTag(route->second, aServiceTag);
+  const auto throttle = service ? mThrottles.find(*service) : mThrottles.end();
   if (throttle == mThrottles.end()) {
     return;
   }
+  if (aFlow.mCountedTag != aServiceTag) {
+    aFlow.mCountedTag = aServiceTag;
+    aFlow.mCountedDecided = false;
+    aFlow.mCountedAccepted = false;
+  }
   const uint32_t priority = route->second.mPriority;
   if (!aFlow.mCountedDecided) {
     aFlow.mCountedDecided = true;
@@ -146,6 +180,7 @@
 // several, and their replies would take the time in which its caller can retry.
 void
 FlowEntryCore::RemoveRefusing(const EntryFlow& aFlow,
+                              const std::string& aService,
                               uint32_t aPriority,
                               std::vector<Candidate>& aCandidates,
                               Instant aNow) const
@@ -154,7 +189,8 @@
   for (const Offer& offer : aFlow.mOffers) {
     const auto view = mViews.find(offer.mAgent);
     if (offer.mState != OfferState::Refused ||
-        offer.mRefusal != Refusal::Full || view == mViews.end()) {
+        offer.mRefusal != Refusal::Full || view == mViews.end() ||
+        !IsOfferTo(aFlow, offer, aService)) {
       continue;
     }
     const auto wait = ExpectedWait(view->second, aPriority, aNow);
@@ -220,7 +256,7 @@
   return kRetransmissionTimes[copy] > route->second.mObjective / 2;
 }
 
-const FlowEntryCore::Offer*
+const Offer*
 FlowEntryCore::BestBusyOffer(const FlowTuple& aTuple,
                              const EntryFlow& aFlow,
                              const std::string& aService,
@@ -236,7 +272,8 @@
   for (const Offer& offer : aFlow.mOffers) {
     if (offer.mState != OfferState::Refused ||
         offer.mRefusal != Refusal::Busy ||
-        offer.mMark == TransitMark::OfferFinal) {
+        offer.mMark == TransitMark::OfferFinal ||
+        !IsOfferTo(aFlow, offer, aService)) {
       continue;
     }
     if (!leastLoaded || offer.mLoad < leastLoaded->mLoad) {
--- a/tests/Flow/FlowModel.cpp
+++ b/tests/Flow/FlowModel.cpp
@@ -147,7 +147,7 @@
   Entry(FlowModel& aModel, size_t aIndex)
     : mModel(aModel)
     , mIndex(aIndex)
-    , mCore({ DomainName(aIndex) },
+    , mCore(Options(aModel, aIndex),
             aModel.mReplica,
             *this,
             aModel.mDecisions,
@@ -202,6 +202,14 @@
   void Disarm() { mArmedFor.reset(); }
 
 private:
+  static EntryOptions Options(const FlowModel& aModel, size_t aIndex)
+  {
+    EntryOptions options;
+    options.mDomain = DomainName(aIndex);
+    options.mOverflowBetweenServices = aModel.mOptions.mOverflow;
+    return options;
+  }
+
   void ScheduleTimer()
   {
     const auto deadline = mCore.NextDeadline();
@@ -232,7 +240,7 @@
   Agent(FlowModel& aModel, size_t aIndex)
     : mModel(aModel)
     , mIndex(aIndex)
-    , mCore(Options(aIndex),
+    , mCore(Options(aModel, aIndex),
             aModel.mReplica,
             *this,
             aModel.mDecisions,
@@ -240,7 +248,7 @@
   {
     Heartbeat heartbeat;
     heartbeat.mId = "i" + std::to_string(aIndex);
-    heartbeat.mService = "desk";
+    heartbeat.mService = aModel.ServiceOf(aIndex);
     heartbeat.mSlots = aModel.mOptions.mSlots;
     heartbeat.mSequence = 1;
     mCore.OnHeartbeat(heartbeat, aModel.mNow);
@@ -312,10 +320,10 @@
   }
 
 private:
-  static AgentOptions Options(size_t aIndex)
+  static AgentOptions Options(const FlowModel& aModel, size_t aIndex)
   {
     AgentOptions options;
-    options.mService = "desk";
+    options.mService = aModel.ServiceOf(aIndex);
     options.mDomain = DomainName(aIndex);
     return options;
   }
@@ -517,7 +525,11 @@
   , mReplica(MakeDecoder(aOptions))
   , mRandom(aOptions.mSeed)
 {
-  FillReplica(mReplica, aOptions.mServers, kDomains, aOptions.mSlots);
+  FillReplica(mReplica,
+              aOptions.mServers,
+              kDomains,
+              aOptions.mSlots,
+              aOptions.mSplitServers);
   for (size_t i = 0; i < aOptions.mEntries; ++i) {
     mEntries.push_back(std::make_unique<Entry>(*this, i));
   }
@@ -528,6 +540,13 @@
 
 FlowModel::~FlowModel() = default;
 
+std::string
+FlowModel::ServiceOf(size_t aServer) const
+{
+  const bool isSecond = aServer + mOptions.mSplitServers >= mOptions.mServers;
+  return isSecond ? "library" : "desk";
+}
+
 void
 FlowModel::KillServer(size_t aIndex)
 {
@@ -600,6 +619,13 @@
   }
   result.mOffers = mDecisions.Count(Verdict::Offered);
   result.mUnansweredOffers = mDecisions.Count(Verdict::Unanswered);
+  for (const Decision& decision : mDecisions.mDecisions) {
+    if (decision.mVerdict == Verdict::Placed) {
+      const size_t server = decision.mPeer.mIp - AgentAddress(0).mIp;
+      result.mPlacedAtSecond += ServiceOf(server) == "library";
+      result.mOverflows += decision.mReason == kOverflowReason;
+    }
+  }
   return result;
 }
 
--- a/tests/Flow/FlowModel.h
+++ b/tests/Flow/FlowModel.h
@@ -50,6 +50,11 @@
   /// When empty, the model has one route to kService with mServiceTime and
   /// mObjective, and its callers do not retry.
   std::vector<ModelRoute> mRoutes;
+  /// When above 0, the last servers, as many, are of a second service, to which
+  /// the weights send a tenth of the flows. Only without mRoutes.
+  size_t mSplitServers = 0;
+  /// EntryOptions::mOverflowBetweenServices.
+  bool mOverflow = true;
 };
 
 /// Results as seen by the callers.
@@ -64,6 +69,10 @@
   size_t mOffers = 0;
   /// Offers without a reply in time.
   size_t mUnansweredOffers = 0;
+  /// Accepted by agents of the second service.
+  size_t mPlacedAtSecond = 0;
+  /// Accepted by agents of another service than the weights chose.
+  size_t mOverflows = 0;
 
   double InTimeShare() const
   {
@@ -167,6 +176,7 @@
   void SendFromCaller(const Packet& aPacket);
   void DeliverToCaller(const Packet& aPacket);
   size_t EntryOf(const Address& aCaller) const;
+  std::string ServiceOf(size_t aServer) const;
 
   bool HasRoutes() const { return !mOptions.mRoutes.empty(); }
   Duration ServiceTimeOf(const Address& aService) const;
--- a/tests/Flow/OverloadTest.cpp
+++ b/tests/Flow/OverloadTest.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
+
 #include "tests/Flow/FlowModel.h"
 
 using namespace snipepost;
@@ -139,4 +141,37 @@
              0.98 * static_cast<double>(requests));
 }
 
+// A tenth of the flows is sent to a service with a twenty-fourth of the slots.
+// Guards against refused flows while the route's other service has room.
+BOOST_AUTO_TEST_CASE(SmallServiceOfASplitOverflows)
+{
+  ModelOptions options;
+  options.mServers = 24;
+  options.mSplitServers = 1;
+  FlowModel model(options);
+  const ModelResult result = model.Run(0.6 * 2 * kCapacity, 10s);
+  BOOST_TEST_MESSAGE("rejected " << result.mRejected << ", in time "
+                                 << result.InTimeShare() << ", overflows "
+                                 << result.mOverflows);
+  BOOST_TEST(result.mRejected == 0U);
+  BOOST_TEST(result.InTimeShare() >= 0.99);
+}
+
+// Guards against overflow that begins before the service that the weights
+// choose has no capacity.
+BOOST_AUTO_TEST_CASE(WeightsAreKeptWhileBothServicesHaveRoom)
+{
+  ModelOptions options;
+  options.mServers = 24;
+  options.mSplitServers = 3;
+  FlowModel model(options);
+  const ModelResult result = model.Run(0.6 * 2 * kCapacity, 10s);
+  const double share = static_cast<double>(result.mPlacedAtSecond) /
+                       static_cast<double>(result.mRequestCount);
+  BOOST_TEST_MESSAGE("share " << share << ", overflows " << result.mOverflows);
+  BOOST_TEST(std::abs(share - 0.1) < 0.01);
+  BOOST_TEST(result.mOverflows == 0U);
+  BOOST_TEST(result.mRejected == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Flow/OwnerLookupCheck.cpp
+++ b/tests/Flow/OwnerLookupCheck.cpp
@@ -79,6 +79,7 @@
   size_t opened = 0;
   size_t resets = 0;
   size_t lookups = 0;
+  size_t overflows = 0;
   size_t wrong = 0;
   std::ostringstream seeds;
   for (uint64_t seed = first; seed < first + count; ++seed) {
@@ -93,9 +94,11 @@
     opened += model.OpenedFlows();
     resets += model.RightResets();
     lookups += model.Lookups();
+    overflows += model.Overflows();
   }
   BOOST_TEST_MESSAGE(count << " schedules, " << opened << " flows opened, "
-                           << lookups << " lookup attempts, " << resets
+                           << lookups << " lookup attempts, " << overflows
+                           << " flows passed on, " << resets
                            << " resets of ended flows");
   BOOST_TEST(wrong == 0U,
              "open flows were reset with the seeds" << seeds.str());
@@ -107,6 +110,7 @@
   BOOST_TEST(opened > count * 10);
   BOOST_TEST(lookups > count * 10);
   BOOST_TEST(resets > count / 10);
+  BOOST_TEST(overflows > count / 10);
 }
 
 } // namespace snipepost::flow
--- a/tests/Flow/OwnerLookupModel.cpp
+++ b/tests/Flow/OwnerLookupModel.cpp
@@ -27,6 +27,9 @@
 /// for which an agent of a new record accepts no flow.
 constexpr Duration kMaxLag = 1200ms;
 constexpr size_t kMaxServers = 14;
+/// With every seed that is divisible by this, servers accept few flows, so that
+/// flows are passed on to the other service of a split.
+constexpr uint64_t kFullServersStep = 5;
 constexpr std::array<Duration, 2> kSynRetransmissions = { 200ms, 600ms };
 constexpr Duration kConnectTimeout = 1400ms;
 constexpr std::array<Duration, 3> kDataRetransmissions = { 200ms,
@@ -68,14 +71,16 @@
   return cluster::NodeIp(0x0a020000U + static_cast<uint32_t>(aIndex));
 }
 
-/// Decodes "version idle-ms", then "port weight weight" for each route.
+/// Decodes "version idle-ms max-flows", then "port weight weight" for each
+/// route.
 std::optional<cluster::RouteConfig>
 DecodeConfig(std::string_view aText)
 {
   std::istringstream text{ std::string(aText) };
   uint64_t version = 0;
   int64_t idle = 0;
-  text >> version >> idle;
+  uint32_t maxFlows = 0;
+  text >> version >> idle >> maxFlows;
   cluster::RouteConfig config;
   config.mVersion = cluster::ConfigVersion(version);
   config.mIdleTimeout = std::chrono::milliseconds(idle);
@@ -96,7 +101,7 @@
     config.mRoutes[route.mAddress] = route;
   }
   for (const char* service : kServices) {
-    config.mServices[service].mMaxFlows = 2000;
+    config.mServices[service].mMaxFlows = maxFlows;
   }
   return config;
 }
@@ -539,6 +544,7 @@
   , mEntriesLag(mRandom.Chance(0.5))
   , mMessageLoss(0.15 * mRandom.Fraction() * mRandom.Fraction())
   , mServiceStep(2 + mRandom.Below(3))
+  , mMaxFlows(aSeed % kFullServersStep == 0 ? 2 : 2000)
 {
   const size_t domains = 1 + mRandom.Below(3);
   for (size_t i = 0; i < domains; ++i) {
@@ -687,8 +693,9 @@
 void
 OwnerLookupModel::WriteRoutes()
 {
-  std::string text =
-    std::to_string(++mConfigVersion) + ' ' + std::to_string(mIdleTimeout / 1ms);
+  std::string text = std::to_string(++mConfigVersion) + ' ' +
+                     std::to_string(mIdleTimeout / 1ms) + ' ' +
+                     std::to_string(mMaxFlows);
   for (size_t i = 0; i < mRoutes.size(); ++i) {
     if (!mRoutes[i].mRemoved) {
       text += '\n' + std::to_string(kFirstPort + i) + ' ' +
--- a/tests/Flow/OwnerLookupModel.h
+++ b/tests/Flow/OwnerLookupModel.h
@@ -88,6 +88,8 @@
   /// Resets in response to packets of flows that were not open.
   size_t RightResets() const { return mRightResets; }
   size_t Lookups() const { return mDecisions.mLookups; }
+  /// Flows that were passed on to the other service of a split.
+  size_t Overflows() const { return mDecisions.mOverflows; }
 
 private:
   class Entry;
@@ -110,8 +112,11 @@
     void OnDecision(const Decision& aDecision) override
     {
       mLookups += aDecision.mVerdict == Verdict::Locating;
+      mOverflows += aDecision.mVerdict == Verdict::Placed &&
+                    aDecision.mReason == kOverflowReason;
     }
     size_t mLookups = 0;
+    size_t mOverflows = 0;
   };
 
   struct Event
@@ -183,6 +188,8 @@
   double mMessageLoss;
   /// Every server whose number is divisible by this is of the second service.
   size_t mServiceStep;
+  /// Flows that one server can have open.
+  uint32_t mMaxFlows;
   std::vector<std::string> mDomains;
   std::vector<RouteState> mRoutes;
   uint64_t mConfigVersion = 0;
--- a/tests/Flow/Samples.h
+++ b/tests/Flow/Samples.h
@@ -21,6 +21,10 @@
 /// Version of a sample configuration whose requests are not idempotent.
 constexpr uint64_t kUnsafeVersion = 100;
 
+/// Version of a sample configuration that sends a tenth of the flows to another
+/// service.
+constexpr uint64_t kSplitVersion = 200;
+
 /// A configuration whose version is the number in aText. Even versions contain
 /// the route to kService.
 inline std::optional<cluster::RouteConfig>
@@ -36,6 +40,9 @@
   route.mObjective = std::chrono::milliseconds(200);
   route.mTimeout = std::chrono::milliseconds(2500);
   route.mServices = { { "desk", 1 } };
+  if (config.mVersion.Value() == kSplitVersion) {
+    route.mServices = { { "library", 10 }, { "desk", 90 } };
+  }
   if (config.mVersion.Value() % 2 == 0) {
     config.mRoutes[kService] = route;
   }
@@ -44,23 +51,27 @@
 }
 
 /// Fills a replica with aServers backend servers in aDomains failure domains,
-/// which are named a, b, c and so on.
+/// which are named a, b, c and so on. The last aSplitServers are of the service
+/// library, and the configuration is kSplitVersion if there are any.
 inline void
 FillReplica(cluster::Replica& aReplica,
             size_t aServers,
             size_t aDomains,
-            uint32_t aSlots)
+            uint32_t aSlots,
+            size_t aSplitServers = 0)
 {
   using cluster::Part;
   using cluster::Revision;
-  aReplica.ApplySnapshot(Part::Routes,
-                         { Revision(1), { { "main", Revision(1), "2" } } });
+  const uint64_t version = aSplitServers > 0 ? kSplitVersion : 2;
+  aReplica.ApplySnapshot(
+    Part::Routes,
+    { Revision(1), { { "main", Revision(1), std::to_string(version) } } });
   aReplica.ApplySnapshot(Part::Evacuations, { Revision(1), {} });
   cluster::Snapshot snapshot;
   snapshot.mRevision = Revision(1);
   for (size_t i = 0; i < aServers; ++i) {
     cluster::BackendRecord record;
-    record.mService = "desk";
+    record.mService = i + aSplitServers < aServers ? "desk" : "library";
     record.mAgent = AgentAddress(i);
     record.mDomain = std::string(1, static_cast<char>('a' + i % aDomains));
     record.mSlots = aSlots;
