FlowDaemon: setting and counter of the overflow between services

Overflow changes which service serves a flow, so the operator needs to switch it off and to see how much of it there is. A log field without a name is left out of the line.

--- a/src/FlowDaemon/EntryNode.cpp
+++ b/src/FlowDaemon/EntryNode.cpp
@@ -22,6 +22,8 @@
   options.mDomain = aSettings.mDomain;
   options.mFlowLimit = aSettings.mFlowLimit;
   options.mScheduleFlows = aSettings.mScheduleFlows == FlowScheduling::On;
+  options.mOverflowBetweenServices =
+    aSettings.mOverflowBetweenServices == ServiceOverflow::On;
   options.mSeed = aSettings.Identity().mIp;
   return options;
 }
--- a/src/FlowDaemon/EventLog.cpp
+++ b/src/FlowDaemon/EventLog.cpp
@@ -83,6 +83,9 @@
   fmt::format_to(
     std::back_inserter(mBuffer), "time={} event={}", mClock(), aEvent);
   for (const auto& [name, value] : aFields) {
+    if (name.empty()) {
+      continue;
+    }
     mBuffer += ' ';
     mBuffer += name;
     mBuffer += '=';
--- a/src/FlowDaemon/EventLog.h
+++ b/src/FlowDaemon/EventLog.h
@@ -11,7 +11,7 @@
 
 namespace snipepost {
 
-/// A named value of a log line.
+/// A named value of a log line. A field without a name is left out.
 using LogField = std::pair<std::string_view, std::string>;
 
 /// Writes structured log lines (logfmt) to a file descriptor. Lines are
--- a/src/FlowDaemon/Node.cpp
+++ b/src/FlowDaemon/Node.cpp
@@ -297,6 +297,8 @@
   if (aDecision.mVerdict == flow::Verdict::Offered) {
     return; // The outcome of the offer is logged instead.
   }
+  const std::string_view serviceField =
+    aDecision.mService.empty() ? "" : "service";
   mLog.Write(
     flow::ToString(aDecision.mVerdict),
     { { "caller", ToString(aDecision.mFlow.mCaller) },
@@ -308,7 +310,8 @@
       { "load_age_ms", FormatMs(aDecision.mLoadAge) },
       { "elapsed_ms", FormatMs(aDecision.mElapsed) },
       { "config", std::to_string(mReplica.Routes()->mVersion.Value()) },
-      { "reason", std::string(aDecision.mReason) } });
+      { "reason", std::string(aDecision.mReason) },
+      { serviceField, std::string(aDecision.mService) } });
 }
 
 void
--- a/src/FlowDaemon/NodeMetrics.cpp
+++ b/src/FlowDaemon/NodeMetrics.cpp
@@ -20,6 +20,9 @@
   , mBackendChecks(mRegistry.AddCounter(
       "snipepost_backend_checks_total",
       "Connections to a backend server that may have ended"))
+  , mOverflowFlows(mRegistry.AddCounter(
+      "snipepost_overflow_flows_total",
+      "Flows accepted by another service than the weights of the route chose"))
   , mPeerFetches(mRegistry.AddCounter("snipepost_peer_fetches_total",
                                       "Parts of the state asked of a peer"))
   , mPeerSnapshots(
@@ -73,6 +76,9 @@
   mDecisions.at(static_cast<size_t>(aDecision.mVerdict))->Add();
   if (aDecision.mVerdict == flow::Verdict::Placed) {
     mPlacement.Record(aDecision.mElapsed);
+    if (!aDecision.mService.empty()) {
+      mOverflowFlows.Add();
+    }
   } else if (aDecision.mVerdict == flow::Verdict::Opened) {
     mOpening.Record(aDecision.mElapsed);
   }
--- a/src/FlowDaemon/NodeMetrics.h
+++ b/src/FlowDaemon/NodeMetrics.h
@@ -28,6 +28,7 @@
   Counter& mHeartbeats;
   Counter& mRejectedHeartbeats;
   Counter& mBackendChecks;
+  Counter& mOverflowFlows;
   Counter& mPeerFetches;
   Counter& mPeerSnapshots;
   Counter& mPeerFetchBytes;
--- a/src/FlowDaemon/NodeSettings.cpp
+++ b/src/FlowDaemon/NodeSettings.cpp
@@ -19,16 +19,34 @@
 
 } // namespace cluster
 
+namespace {
+
+/// Parses "yes" or "no" as On or Off.
+template<typename Switch>
 std::string
-Value(const std::string& aText, FlowScheduling& aOut)
+ParseSwitch(const std::string& aText, Switch& aOut)
 {
   if (aText != "yes" && aText != "no") {
     return "expected yes or no";
   }
-  aOut = aText == "yes" ? FlowScheduling::On : FlowScheduling::Off;
+  aOut = aText == "yes" ? Switch::On : Switch::Off;
   return {};
 }
 
+} // namespace
+
+std::string
+Value(const std::string& aText, FlowScheduling& aOut)
+{
+  return ParseSwitch(aText, aOut);
+}
+
+std::string
+Value(const std::string& aText, ServiceOverflow& aOut)
+{
+  return ParseSwitch(aText, aOut);
+}
+
 namespace {
 
 Schema<NodeSettings>
@@ -96,6 +114,12 @@
          "Whether, during overload, new flows of services whose routes have "
          "different priorities wait at agents in the order of priority, and "
          "are throttled at entry instances: yes or no")
+    .Add("overflow-between-services",
+         &S::mOverflowBetweenServices,
+         "yes",
+         "Whether a new flow that the service chosen by the weights of its "
+         "route has no capacity for is offered to the other services of the "
+         "route (entry): yes or no")
     .Add("log-rate",
          &S::mLogRate,
          "200",
--- a/src/FlowDaemon/NodeSettings.h
+++ b/src/FlowDaemon/NodeSettings.h
@@ -24,6 +24,18 @@
 std::string
 Value(const std::string& aText, FlowScheduling& aOut);
 
+/// Whether a flow that the service chosen by the weights of its route has no
+/// capacity for is offered to the other services of the route.
+enum class ServiceOverflow : uint8_t
+{
+  Off,
+  On,
+};
+
+/// Parses "yes" or "no".
+std::string
+Value(const std::string& aText, ServiceOverflow& aOut);
+
 /// Settings of snipepost-flowd.
 struct NodeSettings
 {
@@ -58,6 +70,8 @@
   /// stopping agent waits at most for its flows to end.
   std::chrono::milliseconds mStopDelay{};
   FlowScheduling mScheduleFlows = FlowScheduling::On;
+  /// Entry instances only.
+  ServiceOverflow mOverflowBetweenServices = ServiceOverflow::On;
   /// Log lines a second; further lines are dropped and counted.
   uint64_t mLogRate = 0;
 
--- a/tests/FlowDaemon/NodeSettingsTest.cpp
+++ b/tests/FlowDaemon/NodeSettingsTest.cpp
@@ -95,17 +95,23 @@
   BOOST_TEST(!report.mErrors.empty());
 }
 
-// Guards against scheduling that can't be switched off, or is off by default.
-BOOST_AUTO_TEST_CASE(SchedulingOfFlowsIsOnUnlessSwitchedOff)
+// Guards against scheduling or overflow that can't be switched off, or is off
+// by default.
+BOOST_AUTO_TEST_CASE(SchedulingAndOverflowAreOnUnlessSwitchedOff)
 {
   for (const std::string value : { "", "yes", "no", "maybe" }) {
     const std::string line =
-      value.empty() ? "" : "schedule-flows = " + value + "\n";
+      value.empty() ? ""
+                    : "schedule-flows = " + value +
+                        "\noverflow-between-services = " + value + "\n";
     NodeSettings settings;
     const auto report = Load({ "--role", "entry" }, kEntry + line, settings);
-    BOOST_TEST(report.mErrors.empty() == (value != "maybe"));
+    BOOST_TEST(report.mErrors.size() == (value == "maybe" ? 2U : 0U));
     const bool isOn = settings.mScheduleFlows == FlowScheduling::On;
     BOOST_TEST(isOn == (value != "no"));
+    const bool overflows =
+      settings.mOverflowBetweenServices == ServiceOverflow::On;
+    BOOST_TEST(overflows == (value != "no"));
   }
 }
 
