--- a/tests/FlowDaemon/EventLogTest.cpp
+++ b/tests/FlowDaemon/EventLogTest.cpp
@@ -58,7 +58,8 @@
 {
   EventLog log(mEnds[1], 10, &TestClock);
   log.Flush(kNow);
-  log.Write("refused", { { "load", "7" }, { "reason", "a \"b\"" } });
+  log.Write("refused",
+            { { "load", "7" }, { "reason", "a \"b\"" }, { "", "left out" } });
   log.Flush(kNow);
   BOOST_TEST(Read() ==
              "time=1234 event=refused load=7 reason=\"a \\\"b\\\"\"\n");
