FlowDaemon: capacity and refused flows in /status

Which service is short of capacity could only be seen by reading the metrics and log lines of every instance.

A mean service time that was not measured is left out.

--- a/include/snipepost/Flow/BackendCapacity.h
+++ b/include/snipepost/Flow/BackendCapacity.h
@@ -54,6 +54,8 @@
   Duration ServiceTime(const Address& aRoute) const;
   /// Mean over the requests of all routes; an assumed one before the first.
   Duration MeanServiceTime() const;
+  /// Whether MeanServiceTime() was measured.
+  bool HasServiceTime() const { return !mServiceTime.IsEmpty(); }
   /// Requests that the server queues beyond its slots.
   uint32_t QueueLimit(Instant aNow) const;
   /// Flows to forward beyond the slots, so that no slot is idle while the next
--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -8,9 +8,6 @@
 namespace {
 
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(500);
-/// Consecutive failed writes after which a write is relayed through a peer: the
-/// store may reject this instance and serve others.
-constexpr uint32_t kFailuresBeforeRelay = 2;
 /// A backend server that has sent no heartbeat for this long, two intervals or
 /// more, may have ended.
 constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(2500);
@@ -140,53 +137,6 @@
   return { 200, "{}" };
 }
 
-void
-AgentNode::Announce()
-{
-  const flow::BackendStatus& status = mCore.Status();
-  if (status.Deregistered() || (mStopping && !MayHaveFlows()) ||
-      BackendLeft()) {
-    mPublisher.SetDesired(std::nullopt);
-  } else if (status.HasHeartbeat()) {
-    cluster::BackendRecord record;
-    record.mService = mNode.Settings().mService;
-    record.mAgent = mNode.Settings().Identity();
-    record.mDomain = mNode.Settings().mDomain;
-    record.mState = mStopping || status.Draining()
-                      ? cluster::BackendState::Draining
-                      : cluster::BackendState::Ready;
-    record.mSlots = status.Slots();
-    mPublisher.SetDesired(cluster::EncodeRecord(record));
-  }
-  PublishRecord();
-}
-
-// A server that has crashed is expected back, so its record stays. One that was
-// draining has left, though its deregistration may have been lost.
-bool
-AgentNode::BackendLeft() const
-{
-  if (!mCore.BackendEnded()) {
-    return false;
-  }
-  if (mCore.Status().HasHeartbeat()) {
-    return mCore.Status().Draining();
-  }
-  const auto& records = mNode.State().Backends();
-  const auto record = records.find(mPublisher.Name());
-  return record != records.end() &&
-         record->second.mState == cluster::BackendState::Draining;
-}
-
-// Entry instances consider the flows of a server without a record lost. Silence
-// does not end a flow: the server or this agent may have been paused.
-bool
-AgentNode::MayHaveFlows() const
-{
-  return !mCore.BackendEnded() &&
-         (!mCore.TracksAllFlows(mNode.Now()) || mCore.OpenFlows() > 0);
-}
-
 // Callers on the flows of a server that has ended would wait for their request
 // timeout: it answers nothing, and its agent can't tell it from a slow one.
 void
@@ -223,53 +173,6 @@
   Announce();
 }
 
-void
-AgentNode::UpdatePublisher()
-{
-  const auto version = mNode.State().Version(cluster::Part::Backends);
-  if (version.mLoaded && version != mLastPassedVersion) {
-    mLastPassedVersion = version;
-    mPublisher.OnReplicaState(
-      version.At(),
-      mNode.State().FindObject(cluster::Part::Backends, mPublisher.Name()));
-  }
-}
-
-void
-AgentNode::PublishRecord()
-{
-  UpdatePublisher();
-  const auto write = mPublisher.NextWrite(mNode.Now());
-  if (!write) {
-    return;
-  }
-  if (mFailedWrites >= kFailuresBeforeRelay &&
-      mNode.RelayWrite({ mPublisher.Name(), *write })) {
-    mFailedWrites = 0;
-    mPublisher.OnOutcome(
-      cluster::WriteOutcome::Unknown, std::nullopt, mNode.Now());
-    return;
-  }
-  mNode.Store().Write(
-    mPublisher.Name(), *write, [this](cluster::WriteResult aResult) {
-      OnWritten(std::move(aResult));
-    });
-}
-
-void
-AgentNode::OnWritten(cluster::WriteResult aResult)
-{
-  const bool resolved = aResult.mOutcome == cluster::WriteOutcome::Done ||
-                        aResult.mOutcome == cluster::WriteOutcome::Conflict;
-  mFailedWrites = resolved ? 0 : mFailedWrites + 1;
-  mNode.Log().Write("record-written",
-                    { { "record", mPublisher.Name() },
-                      { "outcome", std::string(ToString(aResult.mOutcome)) } });
-  mNode.OnStoreEpoch(aResult.mEpoch);
-  mPublisher.OnOutcome(
-    aResult.mOutcome, std::move(aResult.mStored), mNode.Now(), aResult.mEpoch);
-}
-
 void
 AgentNode::OnReplicaChanged(cluster::Part)
 {
@@ -311,6 +214,26 @@
   metrics.mQueueLimit.Set(capacity.QueueLimit(aNow));
 }
 
+void
+AgentNode::AddStatus(boost::json::object& aStatus)
+{
+  const flow::BackendStatus& status = mCore.Status();
+  const flow::BackendCapacity& capacity = mCore.Scheduler().Capacity();
+  boost::json::object values = {
+    { "slots", status.HasHeartbeat() ? status.Slots() : 0 },
+    { "load", mCore.Load() },
+    { "waiting", mCore.WaitingFlows() },
+    { "queueLimit", capacity.QueueLimit(mNode.Now()) },
+  };
+  if (capacity.HasServiceTime()) {
+    values["serviceMs"] =
+      std::chrono::duration<double, std::milli>(capacity.MeanServiceTime())
+        .count();
+  }
+  aStatus["service"] = mNode.Settings().mService;
+  aStatus["capacity"] = std::move(values);
+}
+
 void
 AgentNode::OnDatagram(std::span<const uint8_t> aBytes, const Address& aFrom)
 {
--- a/src/FlowDaemon/AgentNode.h
+++ b/src/FlowDaemon/AgentNode.h
@@ -39,6 +39,8 @@
   void OnReplicaChanged(cluster::Part aPart) override;
   void OnTick() override;
   void OnMessagesHandled() override;
+  /// Adds the service and the capacity of the backend server.
+  void AddStatus(boost::json::object& aStatus) override;
   void SendToBackend(std::span<const uint8_t> aBytes) override;
   void SendToCaller(std::span<const uint8_t> aBytes,
                     const Address& aCaller) override;
--- a/src/FlowDaemon/EntryNode.cpp
+++ b/src/FlowDaemon/EntryNode.cpp
@@ -26,6 +26,31 @@
   return options;
 }
 
+/// The services that a route sends new flows to; none for a removed route.
+boost::json::array
+ServicesOf(const Address& aRoute, const cluster::RouteConfig& aConfig)
+{
+  boost::json::array services;
+  const auto route = aConfig.mRoutes.find(aRoute);
+  if (route == aConfig.mRoutes.end()) {
+    return services;
+  }
+  for (const cluster::WeightedService& share : route->second.mServices) {
+    if (share.mWeight > 0) {
+      services.emplace_back(share.mService);
+    }
+  }
+  return services;
+}
+
+/// The name of a route in the status.
+std::string
+RouteName(const RecentRefusals::RouteCount& aCount)
+{
+  return aCount.mRoute.IsNull() ? std::string(RecentRefusals::kOther)
+                                : ToString(aCount.mRoute);
+}
+
 } // namespace
 
 EntryNode::EntryNode(asio::io_context& aContext, Node& aNode)
@@ -146,6 +171,22 @@
   }
 }
 
+void
+EntryNode::AddStatus(boost::json::object& aStatus)
+{
+  const auto config = mNode.State().Routes();
+  boost::json::object routes;
+  for (const auto& count : mNode.Refusals().Counts(mNode.Now())) {
+    boost::json::value& route = routes[RouteName(count)];
+    if (route.is_null()) {
+      route = { { "services", ServicesOf(count.mRoute, *config) },
+                { "reasons", boost::json::object() } };
+    }
+    route.at("reasons").as_object()[count.mReason] = count.mFlows;
+  }
+  aStatus["refused"] = std::move(routes);
+}
+
 void
 EntryNode::RemoveDeadRecord()
 {
--- a/src/FlowDaemon/EntryNode.h
+++ b/src/FlowDaemon/EntryNode.h
@@ -36,6 +36,8 @@
   void OnReplicaChanged(cluster::Part aPart) override;
   void OnTick() override;
   void OnMessagesHandled() override;
+  /// Adds the new flows that were refused in the last 10 s.
+  void AddStatus(boost::json::object& aStatus) override;
   void SendToAgent(std::span<const uint8_t> aBytes,
                    const Address& aAgent,
                    uint32_t aServiceTag,
--- a/src/FlowDaemon/Node.cpp
+++ b/src/FlowDaemon/Node.cpp
@@ -8,8 +8,6 @@
 
 #include <unistd.h>
 
-#include <boost/json.hpp>
-
 #include "platform/StoreCodec.h"
 
 namespace snipepost {
@@ -67,6 +65,16 @@
   return std::to_string(us / 1000) + '.' + std::to_string(us % 1000 / 100);
 }
 
+boost::json::array
+IpTexts(const std::vector<cluster::NodeIp>& aNodes)
+{
+  boost::json::array texts;
+  for (const cluster::NodeIp& node : aNodes) {
+    texts.emplace_back(ToString(node));
+  }
+  return texts;
+}
+
 } // namespace
 
 Node::Node(asio::io_context& aContext, const NodeSettings& aSettings)
@@ -189,8 +197,13 @@
 Node::Send(cluster::NodeIp aTo, const flow::NodeMessage& aMessage)
 {
   const auto bytes = flow::EncodeMessage(aMessage);
-  mSocket.Send(bytes,
-               WithPort(Address{ aTo.Value(), 0 }, mSettings.mInternalPort));
+  mSocket.Send(bytes, InternalAddress(aTo));
+}
+
+Address
+Node::InternalAddress(cluster::NodeIp aNode) const
+{
+  return { aNode.Value(), static_cast<uint16_t>(mSettings.mInternalPort) };
 }
 
 void
@@ -297,6 +310,7 @@
   if (aDecision.mVerdict == flow::Verdict::Offered) {
     return; // The outcome of the offer is logged instead.
   }
+  mRefusals.OnDecision(aDecision, Now());
   mLog.Write(
     flow::ToString(aDecision.mVerdict),
     { { "caller", ToString(aDecision.mFlow.mCaller) },
@@ -325,8 +339,12 @@
 }
 
 std::string
-Node::StatusText() const
+Node::StatusText()
 {
+  boost::json::array agents;
+  for (const auto& [name, record] : mReplica.Backends()) {
+    agents.emplace_back(ToString(cluster::NodeIp(record.mAgent.mIp)));
+  }
   boost::json::object status = {
     { "name", mSettings.mName },
     { "role", mSettings.mRole == cluster::NodeRole::Entry ? "entry" : "agent" },
@@ -335,22 +353,11 @@
     { "backends", mReplica.Backends().size() },
     { "watching", mWatching },
     { "storeReachable", mSync.Reachable() },
+    { "evacuated", boost::json::value_from(mReplica.EvacuatedDomains()) },
+    { "entries", IpTexts(mGossip.Entries()) },
+    { "agents", std::move(agents) },
   };
-  boost::json::array evacuated;
-  for (const std::string& domain : mReplica.EvacuatedDomains()) {
-    evacuated.emplace_back(domain);
-  }
-  status["evacuated"] = std::move(evacuated);
-  boost::json::array entries;
-  for (const cluster::NodeIp& entry : mGossip.Entries()) {
-    entries.emplace_back(ToString(entry));
-  }
-  status["entries"] = std::move(entries);
-  boost::json::array agents;
-  for (const auto& [name, record] : mReplica.Backends()) {
-    agents.emplace_back(ToString(cluster::NodeIp(record.mAgent.mIp)));
-  }
-  status["agents"] = std::move(agents);
+  mRole->AddStatus(status);
   return boost::json::serialize(status);
 }
 
--- a/src/FlowDaemon/Node.h
+++ b/src/FlowDaemon/Node.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <asio.hpp>
+#include <boost/json.hpp>
 
 #include <snipepost/Cluster/GossipCore.h>
 #include <snipepost/Cluster/Replica.h>
@@ -22,6 +23,7 @@
 #include "src/FlowDaemon/MeteredStore.h"
 #include "src/FlowDaemon/NodeMetrics.h"
 #include "src/FlowDaemon/NodeSettings.h"
+#include "src/FlowDaemon/RecentRefusals.h"
 
 namespace snipepost {
 
@@ -41,6 +43,8 @@
   virtual void OnTick() = 0;
   /// Called after a batch of messages of other nodes was handled.
   virtual void OnMessagesHandled() = 0;
+  /// Adds the fields of the role to the node's status.
+  virtual void AddStatus(boost::json::object& aStatus) = 0;
 };
 
 /// What every node does, whatever its role: keeps a replica of the shared state
@@ -72,6 +76,8 @@
   void OnStoreEpoch(cluster::Epoch aEpoch) { mSync.OnEpoch(aEpoch); }
   EventLog& Log() { return mLog; }
   NodeMetrics& Metrics() { return mMetrics; }
+  /// The new flows that this node refused; none at an agent.
+  RecentRefusals& Refusals() { return mRefusals; }
   const NodeSettings& Settings() const { return mSettings; }
 
   /// True while this node watches the store on behalf of others.
@@ -128,12 +134,15 @@
   void UpdateGauges();
   http1::Response Serve(const http1::Request& aRequest);
   http1::Response WriteForPeer(const std::string& aBody);
-  std::string StatusText() const;
+  std::string StatusText();
+  /// The address of another node for messages and calls between nodes.
+  Address InternalAddress(cluster::NodeIp aNode) const;
 
   asio::io_context& mContext;
   NodeSettings mSettings;
   EventLog mLog;
   NodeMetrics mMetrics;
+  RecentRefusals mRefusals;
   cluster::Replica mReplica;
   cluster::GossipCore mGossip;
   platform::StoreClient mStoreClient;
--- a/src/FlowDaemon/NodePeers.cpp
+++ b/src/FlowDaemon/NodePeers.cpp
@@ -60,9 +60,8 @@
   }
   fetch.mBusy = true;
   mMetrics.mPeerFetches.Add();
-  const Address address{ aPeer.Value(),
-                         static_cast<uint16_t>(mSettings.mInternalPort) };
-  fetch.mClient = std::make_unique<http1::Client>(mContext, address);
+  fetch.mClient =
+    std::make_unique<http1::Client>(mContext, InternalAddress(aPeer));
   http1::Request request;
   request.mPath =
     std::string(kStatePath) + std::string(cluster::ToString(aPart));
@@ -133,9 +132,8 @@
   if (!entry) {
     return false;
   }
-  const Address address{ entry->Value(),
-                         static_cast<uint16_t>(mSettings.mInternalPort) };
-  mRelayClient = std::make_unique<http1::Client>(mContext, address);
+  mRelayClient =
+    std::make_unique<http1::Client>(mContext, InternalAddress(*entry));
   mRelayClient->Call(
     { "POST", std::string(kRecordsPath), cluster::EncodeRelayedWrite(aWrite) },
     kPeerCallTimeout,
--- a/tests/platform/NodeTest.cpp
+++ b/tests/platform/NodeTest.cpp
@@ -150,17 +150,22 @@
     BOOST_REQUIRE(aCondition());
   }
 
-  unsigned Call(const Address& aServer, http1::Request aRequest)
+  http1::Response Fetch(const Address& aServer, http1::Request aRequest)
   {
     http1::Client client(mContext, aServer);
-    std::optional<unsigned> status;
+    std::optional<http1::Response> response;
     client.Call(std::move(aRequest),
                 5s,
                 [&](http1::Result, const http1::Response& aResponse) {
-                  status = aResponse.mStatus;
+                  response = aResponse;
                 });
-    RunUntil([&] { return status.has_value(); });
-    return *status;
+    RunUntil([&] { return response.has_value(); });
+    return *response;
+  }
+
+  unsigned Call(const Address& aServer, http1::Request aRequest)
+  {
+    return Fetch(aServer, std::move(aRequest)).mStatus;
   }
 
   /// A heartbeat of the backend server that started at aStartTime; without a
@@ -616,4 +621,26 @@
              404U);
 }
 
+// Guards against a status without the values that snipepost-flowctl overload
+// reads.
+BOOST_AUTO_TEST_CASE(StatusHasCapacityAndRefusals)
+{
+  AnnounceBackend();
+  BOOST_TEST(SendHeartbeat("draining", 2) == 200U);
+  BOOST_TEST(!OpensNewFlow(42000));
+  const auto status = [this](uint32_t aIp) {
+    return json::parse(
+      Fetch({ aIp, kInternalPort }, { "GET", "/status", "" }).mBody);
+  };
+  const json::value agent = status(kAgentIp);
+  BOOST_TEST(agent.at("service") == "desk");
+  BOOST_TEST(agent.at("capacity").at("slots") == 4);
+  BOOST_TEST(agent.at("capacity").at("waiting") == 0);
+  BOOST_TEST(!agent.at("capacity").as_object().contains("serviceMs"));
+  BOOST_TEST(
+    status(kEntryIp).at("refused") ==
+    json::parse(
+      R"({"198.18.0.1:443":{"services":["desk"],"reasons":{"draining":1}}})"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
