FlowCtl: explain "queued" by the role of the instance

Entry instances and agents both log "queued": the peer of an entry instance's line is the agent that holds the SYN, the peer of an agent's line the entry instance that offered it. The explanation took the peer for the agent in both, so that it named an entry instance as the agent when only the agent's line was in the logs.

The role follows from the number of offers, which is 0 in agents' lines. A refusal after the line is named, and the sentence about the wait of a placed flow is left out when the agent refused it in the end.

--- a/src/FlowCtl/Explanation.cpp
+++ b/src/FlowCtl/Explanation.cpp
@@ -35,6 +35,13 @@
     return found == mLines.rend() ? nullptr : &*found;
   }
 
+  /// True when the event was logged later than aLine, a line of this flow.
+  bool HasAfter(std::string_view aEvent, const LogLine& aLine) const
+  {
+    const LogLine* last = Last(aEvent);
+    return last && last > &aLine;
+  }
+
   /// The number of refusals by reason, such as "1 cold, 3 full".
   std::string RefusalCounts() const
   {
@@ -70,6 +77,22 @@
   const std::vector<LogLine>& mLines;
 };
 
+/// Whether a "queued" line is of an agent, whose peer is the entry instance
+/// that offered the flow, and not of an entry instance, whose peer is the
+/// agent. Only entry instances make offers, and log the line after one or more.
+bool
+LoggedByAgent(const LogLine& aQueued)
+{
+  return aQueued.Field("offers") == "0";
+}
+
+/// The agent that held the SYN of a "queued" line.
+std::string
+HoldingAgent(const LogLine& aQueued)
+{
+  return LoggedByAgent(aQueued) ? aQueued.mInstance : aQueued.Field("peer");
+}
+
 std::optional<std::string>
 ExplainEnded(const FlowLog& aLog)
 {
@@ -133,8 +156,10 @@
                      line->Field("elapsed_ms") + " ms, with configuration " +
                      line->Field("config") +
                      ". Refusals: " + aLog.RefusalCounts() + '.';
-  if (aLog.Has("queued")) {
-    text += " An agent held the SYN until there was capacity.";
+  const LogLine* queued = aLog.Last("queued");
+  if (queued && !aLog.HasAfter("refused", *queued)) {
+    text += " The agent " + HoldingAgent(*queued) +
+            " held the SYN until there was capacity.";
   }
   if (aLog.Has("unanswered")) {
     text += " No reply from " + aLog.UnresponsivePeers() + '.';
@@ -142,6 +167,23 @@
   return text;
 }
 
+/// What became of the flow of a "queued" line that no entry instance placed,
+/// rejected or dropped.
+std::string
+OutcomeOfQueued(const FlowLog& aLog, const LogLine& aQueued)
+{
+  for (const char* event : { "refused", "turned-away" }) {
+    if (aLog.HasAfter(event, aQueued)) {
+      return "An agent refused the flow later (" +
+             aLog.Last(event)->Field("refusal") +
+             "), but no entry instance logged whether the caller was rejected.";
+    }
+  }
+  return "No instance logged whether it was accepted or refused later: the "
+         "caller abandoned the attempt, the agent ended, or the reply was "
+         "lost.";
+}
+
 std::optional<std::string>
 ExplainQueued(const FlowLog& aLog)
 {
@@ -149,12 +191,12 @@
   if (!line) {
     return std::nullopt;
   }
-  return "The agent " + line->Field("peer") + " held the SYN after " +
-         line->Field("elapsed_ms") +
-         " ms, but no instance logged whether it was accepted or refused "
-         "later: the caller abandoned the attempt, the agent ended, or the "
-         "reply was lost. Refusals: " +
-         aLog.RefusalCounts() + '.';
+  std::string text = "The agent " + HoldingAgent(*line) + " held the SYN ";
+  text += LoggedByAgent(*line)
+            ? "that the entry instance " + line->Field("peer") + " offered. "
+            : "after " + line->Field("elapsed_ms") + " ms. ";
+  return text + OutcomeOfQueued(aLog, *line) +
+         " Refusals: " + aLog.RefusalCounts() + '.';
 }
 
 std::optional<std::string>
--- a/tests/FlowCtl/ExplanationTest.cpp
+++ b/tests/FlowCtl/ExplanationTest.cpp
@@ -63,6 +63,22 @@
   BOOST_TEST(Contains(SummaryOf(""), "No instance logged"));
 }
 
+// Guards against an entry instance that is taken for the agent that held the
+// SYN: in an agent's line the peer is the entry instance.
+BOOST_AUTO_TEST_CASE(QueuedIsExplainedByTheRoleOfTheInstance)
+{
+  const auto byAgent = SummaryOf("queued peer=e offers=0");
+  BOOST_TEST(Contains(byAgent, "agent node1 held the SYN"));
+  BOOST_TEST(Contains(byAgent, "entry instance e offered"));
+  BOOST_TEST(Contains(SummaryOf("queued peer=q offers=2 elapsed_ms=1"),
+                      "agent q held the SYN after 1 ms"));
+  BOOST_TEST(Contains(SummaryOf("queued peer=e offers=0\nplaced peer=q"),
+                      "agent node1 held the SYN until there was capacity"));
+  BOOST_TEST(
+    Contains(SummaryOf("queued peer=e offers=0\nturned-away refusal=full"),
+             "An agent refused the flow later (full)"));
+}
+
 // The lines must not include other flows of the same caller.
 BOOST_AUTO_TEST_CASE(RouteFiltersTheLines)
 {
