FlowCtl: at most 256 calls at a time

FleetStatus called all instances at once and kept every connection and every list of peers. With 4,010 stand-ins in one process that each name all others, 884 did not respond within the timeout, and the tool took 865 MB.

The calls are limited, connections end with their call, and lists of peers are not kept.

test_FlowCtl (17 cases) passes.

--- a/src/FlowCtl/FleetStatus.cpp
+++ b/src/FlowCtl/FleetStatus.cpp
@@ -1,6 +1,7 @@
 #include "src/FlowCtl/FleetStatus.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -8,6 +9,10 @@
 
 namespace {
 
+/// Calls at a time: each has a socket, of which a process may commonly have
+/// 1,024, and a call takes 1 s when an instance does not respond.
+constexpr size_t kMaxCalls = 256;
+
 std::string
 JoinOrDash(const std::vector<std::string>& aTexts)
 {
@@ -36,35 +41,48 @@
 void
 FleetStatus::Query(const Address& aInstance)
 {
-  if (!mInstances.try_emplace(aInstance, std::nullopt).second) {
-    return;
+  if (mInstances.try_emplace(aInstance, std::nullopt).second) {
+    mWaiting.push_back(aInstance);
+    StartCalls();
+  }
+}
+
+void
+FleetStatus::StartCalls()
+{
+  while (!mWaiting.empty() && mCalls.size() < kMaxCalls) {
+    const Address instance = mWaiting.front();
+    mWaiting.pop_front();
+    auto& client = mCalls[instance];
+    client = std::make_unique<http1::Client>(mContext, instance);
+    client->Call({ "GET", "/status", {} },
+                 mTimeout,
+                 [this, instance](http1::Result aResult,
+                                  const http1::Response& aResponse) {
+                   mCalls.erase(instance);
+                   if (aResult == http1::Result::Ok) {
+                     OnResponse(instance, aResponse.mBody);
+                   }
+                   StartCalls();
+                 });
   }
-  mClients.push_back(std::make_unique<http1::Client>(mContext, aInstance));
-  mClients.back()->Call(
-    { "GET", "/status", {} },
-    mTimeout,
-    [this, aInstance](http1::Result aResult, const http1::Response& aResponse) {
-      if (aResult == http1::Result::Ok) {
-        OnResponse(aInstance, aResponse.mBody);
-      }
-    });
 }
 
 void
 FleetStatus::OnResponse(const Address& aInstance, const std::string& aBody)
 {
-  const auto status = DecodeStatus(aBody);
+  auto status = DecodeStatus(aBody);
   if (!status) {
     return;
   }
-  mInstances[aInstance] = status;
-  for (const std::string& ip : status->mPeers) {
+  for (const std::string& ip : std::exchange(status->mPeers, {})) {
     // All instances use the same internal port.
     if (const auto peer =
           ParseAddress(ip + ':' + std::to_string(aInstance.mPort))) {
       Query(*peer);
     }
   }
+  mInstances[aInstance] = std::move(status);
 }
 
 std::string
--- a/src/FlowCtl/FleetStatus.h
+++ b/src/FlowCtl/FleetStatus.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <deque>
+#include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include <asio.hpp>
 
@@ -23,15 +24,19 @@
   /// queried already.
   void Query(const Address& aInstance);
 
+  /// The statuses, without the peers.
   const InstanceStatuses& Instances() const { return mInstances; }
 
 private:
+  /// Calls as many of the waiting instances as may be called at a time.
+  void StartCalls();
   void OnResponse(const Address& aInstance, const std::string& aBody);
 
   asio::io_context& mContext;
   Duration mTimeout;
   InstanceStatuses mInstances;
-  std::vector<std::unique_ptr<http1::Client>> mClients;
+  std::deque<Address> mWaiting;
+  std::map<Address, std::unique_ptr<http1::Client>> mCalls;
 };
 
 /// Formats a table of the instances with a remark on each that has a problem.
