--- a/src/FlowCtl/FleetStatus.cpp
+++ b/src/FlowCtl/FleetStatus.cpp
@@ -13,6 +13,9 @@
 /// 1,024, and a call takes 1 s when an instance does not respond.
 constexpr size_t kMaxCalls = 256;
 
+constexpr const char* kRowFormat =
+  "{:<22} {:<24} {:<6} {:<12} {:>7} {:>8} {:<8} {:<16} {}\n";
+
 std::string
 JoinOrDash(const std::vector<std::string>& aTexts)
 {
@@ -30,6 +33,23 @@
                                                        : "";
 }
 
+std::string
+StatusRow(const Address& aAddress,
+          const InstanceStatus& aStatus,
+          const std::string& aRemark)
+{
+  return fmt::format(kRowFormat,
+                     ToString(aAddress),
+                     aStatus.mName,
+                     aStatus.mRole,
+                     aStatus.mDomain,
+                     aStatus.mConfigVersion,
+                     aStatus.mBackendCount,
+                     aStatus.mWatching ? "yes" : "no",
+                     JoinOrDash(aStatus.mEvacuated),
+                     aRemark);
+}
+
 } // namespace
 
 FleetStatus::FleetStatus(asio::io_context& aContext, Duration aTimeout)
@@ -93,8 +113,7 @@
     highestVersion =
       std::max(highestVersion, status ? status->mConfigVersion : 0);
   }
-  std::string text = fmt::format("{:<22} {:<24} {:<6} {:<12} {:>7} {:>8} {:<8} "
-                                 "{:<16} {}\n",
+  std::string text = fmt::format(kRowFormat,
                                  "address",
                                  "name",
                                  "role",
@@ -113,17 +132,7 @@
     }
     const std::string remark = RemarkOn(*status, highestVersion);
     aAllHealthy = aAllHealthy && remark.empty();
-    text += fmt::format("{:<22} {:<24} {:<6} {:<12} {:>7} {:>8} {:<8} "
-                        "{:<16} {}\n",
-                        ToString(address),
-                        status->mName,
-                        status->mRole,
-                        status->mDomain,
-                        status->mConfigVersion,
-                        status->mBackendCount,
-                        status->mWatching ? "yes" : "no",
-                        JoinOrDash(status->mEvacuated),
-                        remark);
+    text += StatusRow(address, *status, remark);
   }
   return text;
 }
