--- a/src/FlowCtl/FleetStatus.cpp
+++ b/src/FlowCtl/FleetStatus.cpp
@@ -1,39 +1,20 @@
 #include "src/FlowCtl/FleetStatus.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
-#include <snipepost/Cluster/JsonFields.h>
-
 namespace snipepost::flowctl {
 
-namespace json = boost::json;
-
 namespace {
 
-std::vector<std::string>
-TextListField(const json::object& aObject, std::string_view aName)
-{
-  std::vector<std::string> texts;
-  const json::value* list = aObject.if_contains(aName);
-  if (!list || !list->is_array()) {
-    return texts;
-  }
-  for (const json::value& item : list->get_array()) {
-    if (item.is_string()) {
-      texts.emplace_back(item.get_string());
-    }
-  }
-  return texts;
-}
+/// Calls at a time: each has a socket, of which a process may commonly have
+/// 1,024, and a call takes 1 s when an instance does not respond.
+constexpr size_t kMaxCalls = 256;
 
-bool
-FlagField(const json::object& aObject, std::string_view aName)
-{
-  const json::value* flag = aObject.if_contains(aName);
-  return flag && flag->is_bool() && flag->get_bool();
-}
+constexpr const char* kRowFormat =
+  "{:<22} {:<24} {:<6} {:<12} {:>7} {:>8} {:<8} {:<16} {}\n";
 
 std::string
 JoinOrDash(const std::vector<std::string>& aTexts)
@@ -52,38 +33,25 @@
                                                        : "";
 }
 
-} // namespace
-
-std::optional<InstanceStatus>
-DecodeStatus(std::string_view aBody)
+std::string
+StatusRow(const Address& aAddress,
+          const InstanceStatus& aStatus,
+          const std::string& aRemark)
 {
-  const auto object = cluster::ParseObject(aBody);
-  if (!object) {
-    return std::nullopt;
-  }
-  const auto name = cluster::TextField(*object, "name");
-  const auto role = cluster::TextField(*object, "role");
-  const auto domain = cluster::TextField(*object, "domain");
-  const auto config = cluster::CountField(*object, "config");
-  const auto backends = cluster::CountField(*object, "backends");
-  if (!name || !role || !domain || !config || !backends) {
-    return std::nullopt;
-  }
-  InstanceStatus status;
-  status.mName = *name;
-  status.mRole = *role;
-  status.mDomain = *domain;
-  status.mConfigVersion = *config;
-  status.mBackendCount = *backends;
-  status.mWatching = FlagField(*object, "watching");
-  status.mStoreReachable = FlagField(*object, "storeReachable");
-  status.mEvacuated = TextListField(*object, "evacuated");
-  status.mPeers = TextListField(*object, "entries");
-  const auto agents = TextListField(*object, "agents");
-  status.mPeers.insert(status.mPeers.end(), agents.begin(), agents.end());
-  return status;
+  return fmt::format(kRowFormat,
+                     ToString(aAddress),
+                     aStatus.mName,
+                     aStatus.mRole,
+                     aStatus.mDomain,
+                     aStatus.mConfigVersion,
+                     aStatus.mBackendCount,
+                     aStatus.mWatching ? "yes" : "no",
+                     JoinOrDash(aStatus.mEvacuated),
+                     aRemark);
 }
 
+} // namespace
+
 FleetStatus::FleetStatus(asio::io_context& aContext, Duration aTimeout)
   : mContext(aContext)
   , mTimeout(aTimeout)
@@ -93,48 +61,59 @@
 void
 FleetStatus::Query(const Address& aInstance)
 {
-  if (!mInstances.try_emplace(aInstance, std::nullopt).second) {
-    return;
+  if (mInstances.try_emplace(aInstance, std::nullopt).second) {
+    mWaiting.push_back(aInstance);
+    StartCalls();
+  }
+}
+
+void
+FleetStatus::StartCalls()
+{
+  while (!mWaiting.empty() && mCalls.size() < kMaxCalls) {
+    const Address instance = mWaiting.front();
+    mWaiting.pop_front();
+    auto& client = mCalls[instance];
+    client = std::make_unique<http1::Client>(mContext, instance);
+    client->Call({ "GET", "/status", {} },
+                 mTimeout,
+                 [this, instance](http1::Result aResult,
+                                  const http1::Response& aResponse) {
+                   mCalls.erase(instance);
+                   if (aResult == http1::Result::Ok) {
+                     OnResponse(instance, aResponse.mBody);
+                   }
+                   StartCalls();
+                 });
   }
-  mClients.push_back(std::make_unique<http1::Client>(mContext, aInstance));
-  mClients.back()->Call(
-    { "GET", "/status", {} },
-    mTimeout,
-    [this, aInstance](http1::Result aResult, const http1::Response& aResponse) {
-      if (aResult == http1::Result::Ok) {
-        OnResponse(aInstance, aResponse.mBody);
-      }
-    });
 }
 
 void
 FleetStatus::OnResponse(const Address& aInstance, const std::string& aBody)
 {
-  const auto status = DecodeStatus(aBody);
+  auto status = DecodeStatus(aBody);
   if (!status) {
     return;
   }
-  mInstances[aInstance] = status;
-  for (const std::string& ip : status->mPeers) {
+  for (const std::string& ip : std::exchange(status->mPeers, {})) {
     // All instances use the same internal port.
     if (const auto peer =
           ParseAddress(ip + ':' + std::to_string(aInstance.mPort))) {
       Query(*peer);
     }
   }
+  mInstances[aInstance] = std::move(status);
 }
 
 std::string
-StatusText(const std::map<Address, std::optional<InstanceStatus>>& aInstances,
-           bool& aAllHealthy)
+StatusText(const InstanceStatuses& aInstances, bool& aAllHealthy)
 {
   uint64_t highestVersion = 0;
   for (const auto& [address, status] : aInstances) {
     highestVersion =
       std::max(highestVersion, status ? status->mConfigVersion : 0);
   }
-  std::string text = fmt::format("{:<22} {:<24} {:<6} {:<12} {:>7} {:>8} {:<8} "
-                                 "{:<16} {}\n",
+  std::string text = fmt::format(kRowFormat,
                                  "address",
                                  "name",
                                  "role",
@@ -153,17 +132,7 @@
     }
     const std::string remark = RemarkOn(*status, highestVersion);
     aAllHealthy = aAllHealthy && remark.empty();
-    text += fmt::format("{:<22} {:<24} {:<6} {:<12} {:>7} {:>8} {:<8} "
-                        "{:<16} {}\n",
-                        ToString(address),
-                        status->mName,
-                        status->mRole,
-                        status->mDomain,
-                        status->mConfigVersion,
-                        status->mBackendCount,
-                        status->mWatching ? "yes" : "no",
-                        JoinOrDash(status->mEvacuated),
-                        remark);
+    text += StatusRow(address, *status, remark);
   }
   return text;
 }
