--- a/tools/bench/CandidateBench.cpp
+++ b/tools/bench/CandidateBench.cpp
@@ -22,27 +22,31 @@
 /// Spreads the numbers of the timed calls over all hash values.
 constexpr uint64_t kHashStep = 0x9e3779b97f4a7c15;
 
-std::vector<cluster::BackendRecord>
-MakeRecords(size_t aCount)
+using Records = std::vector<flow::RecordHistory::KnownRecord>;
+
+/// Records that a node has known since aKnownSince.
+Records
+MakeRecords(size_t aCount, Instant aKnownSince)
 {
-  std::vector<cluster::BackendRecord> records(aCount);
+  Records records(aCount);
   for (size_t i = 0; i < aCount; ++i) {
-    records[i].mService = "service";
-    records[i].mAgent = { 0x0a010000U + static_cast<uint32_t>(i), 8172 };
-    records[i].mDomain = std::string(1, static_cast<char>('a' + i % kDomains));
+    cluster::BackendRecord& record = records[i].mRecord;
+    record.mService = "service";
+    record.mAgent = { 0x0a010000U + static_cast<uint32_t>(i), 8172 };
+    record.mDomain = std::string(1, static_cast<char>('a' + i % kDomains));
+    records[i].mCreated = cluster::Revision(i + 1);
+    records[i].mFirstCreated = records[i].mCreated;
+    records[i].mKnownSince = aKnownSince;
   }
   return records;
 }
 
-/// A table whose records this node has known since aKnownSince.
 flow::CandidateTable
-MakeTable(const std::vector<cluster::BackendRecord>& aRecords,
-          Instant aKnownSince)
+MakeTable(const Records& aRecords)
 {
   flow::CandidateTable table;
-  uint64_t revision = 0;
-  for (const cluster::BackendRecord& record : aRecords) {
-    table.Add(record, cluster::Revision(++revision), aKnownSince);
+  for (const auto& record : aRecords) {
+    table.Add(record);
   }
   return table;
 }
@@ -82,9 +86,10 @@
                        "lookup ns, node just started",
                        "possible owners" });
   for (const size_t count : kServerCounts) {
-    const auto records = MakeRecords(count);
-    const auto settled = MakeTable(records, kNow - kFlowLimit);
-    const auto started = MakeTable(records, kNow);
+    const Records settledRecords = MakeRecords(count, kNow - kFlowLimit);
+    const Records startedRecords = MakeRecords(count, kNow);
+    const auto settled = MakeTable(settledRecords);
+    const auto started = MakeTable(startedRecords);
     size_t candidates = 0;
     const Quantiles select =
       TimeBatches(kBatches, kBatchSize, [&](size_t aIndex) {
