--- a/tests/Flow/FlowEntryCoreOverflowTest.cpp
+++ b/tests/Flow/FlowEntryCoreOverflowTest.cpp
@@ -180,6 +180,8 @@
     Part::Routes, { Revision(2), { { "main", Revision(2), "priorities" } } });
   constexpr ptrdiff_t kFlows = 40;
   for (ptrdiff_t i = 0; i < kFlows; ++i) {
+    // The shares of callers are computed again after 5 ms.
+    mNow += 6ms;
     Place(Refusal::Full, Refusal::None);
   }
   BOOST_TEST(mResets == 0U);
