Flow: requests on open flows wait at the agent

Cause: only new flows were ordered by priority. A request on an open flow went to the server at once and waited in the server's first-in, first-out queue, ahead of more urgent requests.

Change: a data packet that starts a request on an open flow is kept while the server has as many requests as its window, or something waits. RequestQueue holds the packets of up to 64 requests; FlowScheduler::Next() chooses among them and the new flows by QueueOrder, which was part of FlowQueue. The waits that decide about new flows include the waiting requests. A request is forwarded whatever the load after half of its route's timeout, when a limit is reached, when the server drains or fails, when scheduling is switched off, and when the server has closed or returned the flow or its port is used again. Data that was forwarded before starts no request: callers retransmit while a request waits, and a copy that crosses the response would count as load for 5 s. BackendUnresponsive() and LeavesSynsUnanswered() move to FlowAgentCoreBackend.cpp.

Result: AgentRequestsTest and RequestQueueTest pass, and each guarded path fails its test when it is removed.

--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -108,8 +108,10 @@
   uint32_t Load() const { return mLoad; }
   size_t FlowCount() const { return mFlows.size(); }
   const FlowScheduler& Scheduler() const { return mScheduler; }
-  /// Flows that wait at the agent.
+  /// New flows that wait at the agent.
   size_t WaitingFlows() const { return mScheduler.Queue().Size(); }
+  /// Open flows whose request waits at the agent.
+  size_t WaitingRequests() const { return mScheduler.Requests().Size(); }
   /// Flows that are not closed or have a request without a response.
   size_t OpenFlows() const;
   /// True when the table contains every flow of the backend server, because the
@@ -117,6 +119,19 @@
   bool TracksAllFlows(Instant aNow) const;
 
 private:
+  /// The caller's data that was forwarded to the backend server.
+  class ForwardedData
+  {
+  public:
+    void Add(const Packet& aPacket);
+    /// Whether all data of aPacket was forwarded before.
+    bool Contains(const Packet& aPacket) const;
+
+  private:
+    /// Sequence number after the data; nothing before the first.
+    std::optional<uint32_t> mEnd;
+  };
+
   struct AgentFlow
   {
     uint32_t mCallerSequence = 0;
@@ -138,6 +153,8 @@
     /// Counted in mLoad: the flow has a request without a response, or was
     /// opened a short time ago.
     bool mBusy = false;
+    /// A request of the flow waits in the scheduler's RequestQueue.
+    bool mWaiting = false;
     bool mCallerFin = false;
     bool mBackendFin = false;
     /// Entry instance that sent the latest packet.
@@ -155,6 +172,7 @@
     Instant mStartedAt;
     Instant mBusySince;
     Instant mLastSeen;
+    ForwardedData mForwarded;
   };
 
   struct HalfOpenFlow
@@ -188,9 +206,35 @@
                     std::span<const uint8_t> aBytes,
                     cluster::NodeIp aFrom,
                     Instant aNow);
-  /// Forwards the waiting flows that the backend server can take, and refuses
-  /// those that can't be served any more.
+  /// Forwards the waiting flows and requests that the backend server can take,
+  /// and refuses the flows that can't be served any more.
   void ForwardWaitingFlows(Instant aNow);
+  /// Refuses the waiting flows that can't be served any more.
+  void RefuseWaitingFlows(Instant aNow);
+  bool RequestsMayWait() const;
+  /// Whether a caller's packet starts a request on a flow that has none in
+  /// progress.
+  bool StartsRequest(const AgentFlow& aFlow, const Packet& aPacket) const;
+  /// Whether a caller's packet of an open flow has to wait at the agent.
+  bool MustWait(const AgentFlow& aFlow, const Packet& aPacket, Instant aNow);
+  /// Keeps a caller's packet that has to wait. False when it does not have to.
+  bool HoldPacket(const FlowTuple& aTuple,
+                  AgentFlow& aFlow,
+                  const Packet& aPacket,
+                  std::span<const uint8_t> aBytes,
+                  Instant aNow);
+  /// Forwards the requests that may not wait any longer, whatever the load.
+  void ForwardDueRequests(Instant aNow);
+  /// Forwards a request that was removed from the queue. Its packets are
+  /// discarded when the evacuation grace is over.
+  void ForwardRequest(const WaitingRequest& aRequest, Instant aNow);
+  /// Forwards the request of a flow if one waits.
+  void ForwardRequestOf(const FlowTuple& aTuple,
+                        const AgentFlow& aFlow,
+                        Instant aNow);
+  /// Responds with a reset to the request of a flow whose backend server has
+  /// ended, if one waits.
+  void ResetRequestOf(const FlowTuple& aTuple, AgentFlow& aFlow);
   void RefuseWaiting(const WaitingFlow& aFlow,
                      Refusal aRefusal,
                      std::string_view aReason,
--- a/include/snipepost/Flow/FlowQueue.h
+++ b/include/snipepost/Flow/FlowQueue.h
@@ -8,30 +8,21 @@
 #include <snipepost/Base/Types.h>
 #include <snipepost/Cluster/GossipCore.h>
 #include <snipepost/Flow/Packet.h>
+#include <snipepost/Flow/QueueOrder.h>
 
 namespace snipepost::flow {
 
-/// A SYN that waits at the agent for a slot of the backend server.
-struct WaitingFlow
+/// A SYN that waits at the agent for a slot of the backend server. Its deadline
+/// counts from the first SYN; it expires when the caller is about to abandon
+/// the attempt, and must be refused then.
+struct WaitingFlow : QueueEntry
 {
   FlowTuple mFlow;
   uint32_t mCallerSequence = 0;
   /// The entry instance that offered the flow.
   cluster::NodeIp mEntry;
-  /// 0 is the most urgent.
-  uint32_t mPriority = 0;
-  bool mIdempotent = true;
-  /// Time of the first SYN plus the target latency.
-  Instant mDeadline;
   /// An idempotent flow is queued only if its response is expected by then.
   Instant mResponseLimit;
-  /// When the flow must be refused because the caller is about to abandon the
-  /// attempt.
-  Instant mExpires;
-  /// Expected time that the request occupies a slot.
-  Duration mSlotTime{};
-  /// Expected time from leaving the queue until the response, with a margin.
-  Duration mTimeToResponse{};
   /// The packet as it is forwarded to the backend server.
   std::vector<uint8_t> mBytes;
 };
@@ -52,13 +43,7 @@
 public:
   static constexpr size_t kCapacity = 64;
 
-  /// What determines the position of a flow in the queue.
-  struct Order
-  {
-    uint32_t mPriority = 0;
-    Instant mDeadline;
-    Duration mTimeToResponse{};
-  };
+  using Order = QueuePosition;
 
   /// Adds a flow that is not in the queue. A full queue evicts and returns the
   /// flow that would leave last, which may be aFlow. The guaranteed turns count
@@ -71,8 +56,18 @@
 
   /// Removes and returns the flows that must be refused now: expired ones, and
   /// late idempotent ones if a flow waits that can be in time, or if the queue
-  /// is full.
-  std::vector<WaitingFlow> TakeRefused(Instant aNow);
+  /// is full. aOthersInTime: a request that can be in time waits beside the
+  /// queue.
+  std::vector<WaitingFlow> TakeRefused(Instant aNow,
+                                       bool aOthersInTime = false);
+
+  /// Appends the flows that have not expired. The pointers are valid until the
+  /// queue is changed.
+  void Append(QueueEntries& aEntries, Instant aNow) const;
+  /// Removes and returns a flow that Append() has added.
+  WaitingFlow Take(const QueueEntry* aFlow);
+  /// The order in which flows leave, shared with those that wait beside them.
+  QueueOrder& SharedOrder() { return mOrder; }
 
   /// Removes and returns all flows, in order of arrival.
   std::vector<WaitingFlow> TakeAll();
@@ -98,16 +93,9 @@
 private:
   using Flows = std::vector<WaitingFlow>;
 
-  /// Removes and returns a flow of mFlows.
-  WaitingFlow Take(const WaitingFlow* aFlow);
-  /// The flow that would leave last; mFlows must not be empty.
-  const WaitingFlow* LeavesLast(Instant aNow) const;
-
   /// In order of arrival.
   Flows mFlows;
-  /// Flows that left while several priorities waited, since the last guaranteed
-  /// turn.
-  uint32_t mSinceGuaranteed = 0;
+  QueueOrder mOrder;
 };
 
 } // namespace snipepost::flow
--- a/include/snipepost/Flow/FlowScheduler.h
+++ b/include/snipepost/Flow/FlowScheduler.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <snipepost/Cluster/RouteConfig.h>
@@ -11,13 +12,16 @@
 #include <snipepost/Flow/FlowQueue.h>
 #include <snipepost/Flow/NodeMessage.h>
 #include <snipepost/Flow/Packet.h>
+#include <snipepost/Flow/RequestQueue.h>
 
 namespace snipepost::flow {
 
 /// Decides which new flows an agent forwards to its backend server at once,
-/// which wait at the agent, and which are refused. The server gets at most its
-/// slots and a small look-ahead, so that the order of service follows the
-/// priorities and target latencies of the routes and not the server's queue.
+/// which wait at the agent, and which are refused; and which requests on open
+/// flows wait at the agent, in one order with the new flows. The server gets at
+/// most its slots and a small look-ahead, so that the order of service follows
+/// the priorities and target latencies of the routes and not the server's
+/// queue.
 ///
 /// Active while the routes that send new flows to the service have different
 /// priorities. Does no I/O; the time is an argument.
@@ -69,14 +73,36 @@
                 std::vector<WaitingFlow>& aEvicted,
                 Instant aNow);
 
-  /// The next flow to forward; nothing while the server is busy.
-  std::optional<WaitingFlow> Next(const ServerLoad& aLoad, Instant aNow);
+  /// The request that a data packet starts on an open flow, without packets, as
+  /// it would wait at aNow. Nothing when the flow's route is unknown.
+  std::optional<WaitingRequest> MakeRequest(const FlowTuple& aFlow,
+                                            const ServerLoad& aLoad,
+                                            Instant aNow) const;
+
+  /// A new flow or a request, or neither.
+  using Item = std::variant<std::monostate, WaitingFlow, WaitingRequest>;
+
+  /// The next flow or request to forward; neither while the server is busy.
+  /// Only requests unless aAdmitsFlows.
+  Item Next(const ServerLoad& aLoad, bool aAdmitsFlows, Instant aNow);
+
+  /// Removes and returns the new flows that must be refused now; see
+  /// FlowQueue::TakeRefused().
+  std::vector<WaitingFlow> TakeRefused(Instant aNow);
+
+  /// Whether a flow or a request waits.
+  bool AnyWaiting() const { return mQueue.Size() + mRequests.Size() > 0; }
+
+  /// Whether the server can take a request and nothing waits.
+  bool HasRoom(const ServerLoad& aLoad, Instant aNow) const;
 
   /// Expected waits of new flows by priority, most urgent first.
   std::vector<ReportedWait> Waits(const ServerLoad& aLoad, Instant aNow) const;
 
   FlowQueue& Queue() { return mQueue; }
   const FlowQueue& Queue() const { return mQueue; }
+  RequestQueue& Requests() { return mRequests; }
+  const RequestQueue& Requests() const { return mRequests; }
   BackendCapacity& Capacity() { return mCapacity; }
   const BackendCapacity& Capacity() const { return mCapacity; }
   /// Forgets what was learnt from an earlier incarnation of the server.
@@ -92,8 +118,12 @@
 
   /// Requests that the server may have at once: its slots and the look-ahead.
   uint32_t Window(const ServerLoad& aLoad, Instant aNow) const;
-  /// Expected time until the server can take a flow, without the queue.
+  /// Expected time until the server can take a flow, without the queues.
   Duration WaitAtServer(const ServerLoad& aLoad, Instant aNow) const;
+  /// Expected time until a flow that would be added leaves the queue.
+  Duration WaitAhead(const QueuePosition& aPosition,
+                     const ServerLoad& aLoad,
+                     Instant aNow) const;
   /// Expected time from forwarding a SYN until the response.
   Duration TimeToResponse(const Address& aRoute,
                           const ServerLoad& aLoad,
@@ -105,6 +135,7 @@
   /// By priority; empty while the setting forbids scheduling.
   std::vector<Level> mLevels;
   FlowQueue mQueue;
+  RequestQueue mRequests;
   BackendCapacity mCapacity;
 };
 
--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -10,11 +10,6 @@
 /// delays on both sides.
 constexpr Duration kSynAckTimeout = std::chrono::milliseconds(12);
 
-/// Consecutive unanswered SYNs after which a backend server is considered
-/// unresponsive, and the interval at which single SYNs then probe it.
-constexpr uint32_t kUnresponsiveAfter = 3;
-constexpr Duration kProbeInterval = std::chrono::milliseconds(100);
-
 /// A half-open flow counts as load for this long without a packet of the
 /// caller, about one round trip to the caller. The caller may have chosen
 /// another backend server, whose SYN-ACK arrived first.
@@ -115,13 +110,17 @@
     flow.mRequestAt = aNow;
   }
   flow.mCallerFin = flow.mCallerFin || aPacket.mFin;
-  if (aPacket.mLength > 0 && !flow.mBusy) {
-    SetBusy(flow, true, aNow);
-    flow.mRequestAt = aNow;
-  }
   if (lookedUp && !flow.mTentative) {
     NotifyOwned(tuple, flow);
   }
+  if (HoldPacket(tuple, flow, aPacket, aBytes, aNow)) {
+    return;
+  }
+  if (StartsRequest(flow, aPacket)) {
+    SetBusy(flow, true, aNow);
+    flow.mRequestAt = aNow;
+  }
+  flow.mForwarded.Add(aPacket);
   mOutput.SendToBackend(aBytes);
   if (aPacket.mReset) {
     Erase(found);
@@ -177,25 +176,6 @@
   return aNow - *mEvacuatedSince < mOptions.mEvacuationGrace;
 }
 
-bool
-FlowAgentCore::LeavesSynsUnanswered() const
-{
-  return mUnansweredSyns >= kUnresponsiveAfter;
-}
-
-bool
-FlowAgentCore::BackendUnresponsive(Instant aNow)
-{
-  if (!LeavesSynsUnanswered()) {
-    return false;
-  }
-  if (aNow < mNextProbe) {
-    return true;
-  }
-  mNextProbe = aNow + kProbeInterval;
-  return false;
-}
-
 // A cold backend server accepts no flows before the routes are received, which
 // contain its limit. A warm one does, since the entry instance has looked up
 // the route.
@@ -302,6 +282,7 @@
       mOutput.SendToBackend(aBytes);
       return;
     }
+    ForwardRequestOf(tuple, flow, aNow);
     Erase(found);
   }
   ReleaseHalfOpenLoad(aNow);
--- a/src/Flow/FlowAgentCoreBackend.cpp
+++ b/src/Flow/FlowAgentCoreBackend.cpp
@@ -27,6 +27,11 @@
 /// A request that occupies a slot for longer is considered lost.
 constexpr Duration kMaxSlotTime = std::chrono::seconds(5);
 
+/// Consecutive unanswered SYNs after which a backend server is considered
+/// unresponsive, and the interval at which single SYNs then probe it.
+constexpr uint32_t kUnresponsiveAfter = 3;
+constexpr Duration kProbeInterval = std::chrono::milliseconds(100);
+
 } // namespace
 
 void
@@ -124,6 +129,9 @@
     }
   }
   aFlow.mBackendFin = aFlow.mBackendFin || aPacket.mFin || aPacket.mReset;
+  if (aFlow.mBackendFin) {
+    ForwardRequestOf(aTuple, aFlow, aNow);
+  }
 }
 
 void
@@ -189,6 +197,8 @@
   if (found == mFlows.end()) {
     return;
   }
+  // The server would have returned the waiting packets, too.
+  ForwardRequestOf(tuple, found->second, aNow);
   const AgentFlow flow = found->second;
   if (aPacket.IsSyn()) {
     Erase(found);
@@ -238,12 +248,31 @@
   if (!mAwaitingSynAck.empty()) {
     next = mAwaitingSynAck.front().mDeadline;
   }
-  if (WaitingFlows() > 0 && (!next || mNextQueueCheck < *next)) {
+  if (mScheduler.AnyWaiting() && (!next || mNextQueueCheck < *next)) {
     next = mNextQueueCheck;
   }
   return next;
 }
 
+bool
+FlowAgentCore::LeavesSynsUnanswered() const
+{
+  return mUnansweredSyns >= kUnresponsiveAfter;
+}
+
+bool
+FlowAgentCore::BackendUnresponsive(Instant aNow)
+{
+  if (!LeavesSynsUnanswered()) {
+    return false;
+  }
+  if (aNow < mNextProbe) {
+    return true;
+  }
+  mNextProbe = aNow + kProbeInterval;
+  return false;
+}
+
 void
 FlowAgentCore::RemoveAnsweredSyns()
 {
@@ -284,7 +313,7 @@
                    "no-answer");
     SetBusy(found->second, false, aNow);
   }
-  if (WaitingFlows() > 0) {
+  if (mScheduler.AnyWaiting()) {
     ReleaseHalfOpenLoad(aNow);
   }
   ForwardWaitingFlows(aNow);
@@ -308,6 +337,9 @@
 FlowAgentCore::Erase(Flows::iterator aFlow)
 {
   SetBusy(aFlow->second, false, aFlow->second.mLastSeen);
+  if (aFlow->second.mWaiting) {
+    mScheduler.Requests().Take(aFlow->first);
+  }
   mFlows.erase(aFlow);
 }
 
@@ -350,7 +382,8 @@
       retention = kHalfOpenRetention;
     }
     const auto next = std::next(at);
-    if (sinceLastSeen > retention) {
+    // A request may wait for longer than a flow may be idle.
+    if (sinceLastSeen > retention && !flow.mWaiting) {
       Erase(at);
     }
     at = next;
--- a/src/Flow/FlowAgentCoreIncarnations.cpp
+++ b/src/Flow/FlowAgentCoreIncarnations.cpp
@@ -111,6 +111,7 @@
     if (flow.mStartedAt < aEnd) {
       flow.mOrphaned = true;
       flow.mBusy = false;
+      ResetRequestOf(tuple, flow);
     }
     mLoad += flow.mBusy ? 1 : 0;
   }
--- a/src/Flow/FlowAgentCoreQueue.cpp
+++ b/src/Flow/FlowAgentCoreQueue.cpp
@@ -103,6 +103,30 @@
 
 void
 FlowAgentCore::ForwardWaitingFlows(Instant aNow)
+{
+  if (!mScheduler.AnyWaiting()) {
+    return;
+  }
+  ForwardDueRequests(aNow);
+  RefuseWaitingFlows(aNow);
+  while (mScheduler.AnyWaiting()) {
+    // The limit of a cold server applies only to new flows.
+    const auto next =
+      mScheduler.Next(CurrentLoad(), ColdBudget(aNow) != 0U, aNow);
+    if (const auto* flow = std::get_if<WaitingFlow>(&next)) {
+      AddFlow(flow->mFlow, flow->mCallerSequence, flow->mEntry, true, aNow);
+      mOutput.SendToBackend(flow->mBytes);
+    } else if (const auto* request = std::get_if<WaitingRequest>(&next)) {
+      ForwardRequest(*request, aNow);
+    } else {
+      break;
+    }
+  }
+  mNextQueueCheck = aNow + kQueueCheckInterval;
+}
+
+void
+FlowAgentCore::RefuseWaitingFlows(Instant aNow)
 {
   if (WaitingFlows() == 0) {
     return;
@@ -114,18 +138,9 @@
     }
     return;
   }
-  for (const WaitingFlow& flow : mScheduler.Queue().TakeRefused(aNow)) {
+  for (const WaitingFlow& flow : mScheduler.TakeRefused(aNow)) {
     RefuseWaiting(flow, Refusal::Full, "too-late", aNow);
   }
-  while (ColdBudget(aNow) != 0U) {
-    const auto flow = mScheduler.Next(CurrentLoad(), aNow);
-    if (!flow) {
-      break;
-    }
-    AddFlow(flow->mFlow, flow->mCallerSequence, flow->mEntry, true, aNow);
-    mOutput.SendToBackend(flow->mBytes);
-  }
-  mNextQueueCheck = aNow + kQueueCheckInterval;
 }
 
 void
--- a/src/Flow/FlowScheduler.cpp
+++ b/src/Flow/FlowScheduler.cpp
@@ -95,6 +95,22 @@
          std::max(aLoad.mSlots, 1U);
 }
 
+Duration
+FlowScheduler::WaitAhead(const QueuePosition& aPosition,
+                         const ServerLoad& aLoad,
+                         Instant aNow) const
+{
+  return WaitAtServer(aLoad, aNow) +
+         mQueue.WaitAhead(aPosition, aLoad.mSlots, aNow) +
+         mRequests.WaitAhead(aPosition, aLoad.mSlots, aNow);
+}
+
+bool
+FlowScheduler::HasRoom(const ServerLoad& aLoad, Instant aNow) const
+{
+  return !AnyWaiting() && aLoad.mRequests < Window(aLoad, aNow);
+}
+
 Duration
 FlowScheduler::TimeToResponse(const Address& aRoute,
                               const ServerLoad& aLoad,
@@ -133,6 +149,26 @@
   return flow;
 }
 
+std::optional<WaitingRequest>
+FlowScheduler::MakeRequest(const FlowTuple& aFlow,
+                           const ServerLoad& aLoad,
+                           Instant aNow) const
+{
+  const auto route = mConfig->mRoutes.find(aFlow.mService);
+  if (route == mConfig->mRoutes.end()) {
+    return std::nullopt;
+  }
+  WaitingRequest request;
+  request.mFlow = aFlow;
+  request.mPriority = route->second.mPriority;
+  request.mIdempotent = route->second.mKind != cluster::RequestKind::Unsafe;
+  request.mDeadline = aNow + route->second.mObjective;
+  request.mForwardBy = aNow + route->second.mTimeout / 2;
+  request.mSlotTime = mCapacity.ServiceTime(aFlow.mService);
+  request.mTimeToResponse = TimeToResponse(aFlow.mService, aLoad, aNow);
+  return request;
+}
+
 FlowScheduler::Outcome
 FlowScheduler::Offer(WaitingFlow aFlow,
                      TransitMark aMark,
@@ -140,21 +176,19 @@
                      std::vector<WaitingFlow>& aEvicted,
                      Instant aNow)
 {
-  if (aLoad.mRequests < aLoad.mSlots && mQueue.Size() == 0) {
+  if (aLoad.mRequests < aLoad.mSlots && !AnyWaiting()) {
     return Outcome::Forwarded;
   }
   if (aMark == TransitMark::OfferIfFree) {
     return Outcome::NoFreeSlot;
   }
-  if (aLoad.mRequests < Window(aLoad, aNow) && mQueue.Size() == 0) {
+  if (HasRoom(aLoad, aNow)) {
     return Outcome::Forwarded;
   }
   const Instant leaves =
-    aNow + WaitAtServer(aLoad, aNow) +
-    mQueue.WaitAhead(
-      { aFlow.mPriority, aFlow.mDeadline, aFlow.mTimeToResponse },
-      aLoad.mSlots,
-      aNow);
+    aNow +
+    WaitAhead(
+      { aFlow.mPriority, aFlow.mDeadline, aFlow.mTimeToResponse }, aLoad, aNow);
   // A request that isn't idempotent can't be retried once it has started, but
   // until then it may wait for as long as its caller does.
   const Instant limit = aFlow.mIdempotent
@@ -175,19 +209,37 @@
   return Outcome::Queued;
 }
 
-std::optional<WaitingFlow>
-FlowScheduler::Next(const ServerLoad& aLoad, Instant aNow)
+FlowScheduler::Item
+FlowScheduler::Next(const ServerLoad& aLoad, bool aAdmitsFlows, Instant aNow)
 {
   if (aLoad.mRequests >= Window(aLoad, aNow)) {
-    return std::nullopt;
+    return {};
+  }
+  if (mRequests.Size() == 0) {
+    auto flow = aAdmitsFlows ? mQueue.Pop(aNow) : std::nullopt;
+    return flow ? Item(std::move(*flow)) : Item();
   }
-  return mQueue.Pop(aNow);
+  QueueEntries entries;
+  mRequests.Append(entries);
+  if (aAdmitsFlows) {
+    mQueue.Append(entries, aNow);
+  }
+  const QueueEntry* next = mQueue.SharedOrder().TakeNext(entries, aNow);
+  if (auto request = mRequests.Take(next)) {
+    return std::move(*request);
+  }
+  return mQueue.Take(next);
+}
+
+std::vector<WaitingFlow>
+FlowScheduler::TakeRefused(Instant aNow)
+{
+  return mQueue.TakeRefused(aNow, mRequests.AnyInTime(aNow));
 }
 
 std::vector<ReportedWait>
 FlowScheduler::Waits(const ServerLoad& aLoad, Instant aNow) const
 {
-  const Duration atServer = WaitAtServer(aLoad, aNow);
   std::vector<ReportedWait> waits;
   for (const Level& level : mLevels) {
     if (waits.size() == OfferReply::kMaxWaits) {
@@ -197,7 +249,7 @@
                                   aNow + level.mObjective,
                                   mCapacity.MeanServiceTime() };
     waits.push_back({ static_cast<uint8_t>(std::min(level.mPriority, 255U)),
-                      atServer + mQueue.WaitAhead(order, aLoad.mSlots, aNow) });
+                      WaitAhead(order, aLoad, aNow) });
   }
   return waits;
 }
