Flow tests: an overload by one route whose callers keep flows open

Cause: the callers of FlowModel opened a flow for each request, so that the order among requests of open flows was not tested.

Change: ModelRoute::mKeptFlows. The model counts the requests that reach a server above its agent's window and those that arrive out of order. A server starts its next waiting request before it passes a response to the agent, which may forward a further one in the same step.

--- a/tests/Flow/FlowModel.cpp
+++ b/tests/Flow/FlowModel.cpp
@@ -21,6 +21,10 @@
 constexpr Duration kConnectTimeout = 1400ms;
 constexpr uint16_t kFirstPort = 1000;
 constexpr uint32_t kMaxAttempts = 3;
+/// Data of a request.
+constexpr uint16_t kRequestLength = 100;
+/// Time in which the flows of ModelRoute::mKeptFlows are opened.
+constexpr Duration kOpeningTime = 1s;
 /// Spread of service times.
 constexpr double kServiceTimeSpread = 0.5;
 /// Longest time from a caller's first SYN until an idle server without other
@@ -131,7 +135,10 @@
   bool mWaiting = false;
 
   // The current attempt.
+  uint64_t mAttempt = 0;
   Address mCaller;
+  /// Data of earlier requests on the flow.
+  uint32_t mSent = 0;
   uint32_t mSequence = 0;
   uint32_t mBackendSequence = 0;
   bool mOpened = false;
@@ -354,7 +361,7 @@
     packet.mAck = true;
     packet.mSequence = InitialSequence();
     packet.mLength = aLength;
-    packet.mFin = aLength > 0;
+    packet.mFin = aLength > 0 && !mModel.KeepsFlows(aFlow.mService);
     PassToCore(packet);
   }
 
@@ -418,7 +425,7 @@
       result->mReturnedSyns += full;
     }
     if (!full) {
-      mServerFlows[flow] = false;
+      mServerFlows[flow] = 0;
     }
     return !full;
   }
@@ -436,9 +443,18 @@
       ReturnPacket(aPacket);
       return;
     }
-    if (std::exchange(found->second, true)) {
+    if (aPacket.mSequence < found->second) {
       return;
     }
+    if (LoadResult* result = mModel.CurrentResult()) {
+      const uint32_t slots = mModel.mOptions.mSlots;
+      const size_t window =
+        slots + mCore.Scheduler().Capacity().LookAhead(slots, mModel.mNow);
+      ++result->mRequestsAtServers;
+      result->mAboveWindow += mRunning + mWaiting.size() >= window;
+      result->mOutOfOrder += aPacket.mSequence > found->second;
+    }
+    found->second = aPacket.mSequence + aPacket.mLength;
     if (RouteRequest* request = mModel.FindAttempt(flow.mCaller)) {
       request->mReceived = true;
     }
@@ -471,12 +487,13 @@
     mModel.ScheduleAt(mModel.mNow + work, [this, aFlow] {
       mModel.CountIdleTime();
       --mRunning;
-      SendToCore(aFlow, false, 2);
       if (!mWaiting.empty()) {
         const FlowTuple next = mWaiting.front();
         mWaiting.pop_front();
         Start(next);
       }
+      // May add a request, which must not take the slot of a waiting one.
+      SendToCore(aFlow, false, 2);
     });
   }
 
@@ -485,8 +502,8 @@
   FlowAgentCore mCore;
   std::optional<Instant> mArmedFor;
   /// Flows that the backend server has opened in a model with routes, with
-  /// whether it has received the request.
-  std::map<FlowTuple, bool> mServerFlows;
+  /// the amount of data that it has received.
+  std::map<FlowTuple, uint32_t> mServerFlows;
   std::deque<FlowTuple> mWaiting;
   uint32_t mRunning = 0;
   uint64_t mPackets = 0;
@@ -701,6 +718,15 @@
   mFailureTimes.assign(aPhases.size(), {});
   mDecisions.mDecisions.clear();
   mIdleTimeCountedTo = mNow;
+  mIdleFlows.assign(mOptions.mRoutes.size(), {});
+  for (size_t route = 0; route < mOptions.mRoutes.size(); ++route) {
+    const size_t flows = mOptions.mRoutes[route].mKeptFlows;
+    for (size_t flow = 0; flow < flows; ++flow) {
+      ScheduleAt(mNow + kOpeningTime * flow / flows, [this, route] {
+        StartAttempt(AddRequest(route, mNextCaller++));
+      });
+    }
+  }
   for (size_t phase = 0; phase < aPhases.size(); ++phase) {
     mPhase = phase;
     BeginPhase(aPhases[phase]);
@@ -818,25 +844,61 @@
   return current ? &found->second : nullptr;
 }
 
+bool
+FlowModel::KeepsFlows(const Address& aService) const
+{
+  return std::ranges::any_of(mOptions.mRoutes, [&](const ModelRoute& aRoute) {
+    return aRoute.mAddress == aService && aRoute.mKeptFlows > 0;
+  });
+}
+
 void
 FlowModel::OpenRouteRequest(size_t aRoute)
 {
-  const uint32_t ip = mNextCaller++;
-  RouteRequest& request = mRouteRequests[ip];
+  std::deque<Address>& idle = mIdleFlows[aRoute];
+  if (idle.empty()) {
+    StartAttempt(AddRequest(aRoute, mNextCaller++));
+    return;
+  }
+  RouteRequest& request = AddRequest(aRoute, idle.front().mIp);
+  idle.pop_front();
+  ++request.mAttempts;
+  request.mAttempt = ++mAttemptCount;
+  request.mSent += kRequestLength;
+  SendRequest(request);
+  ScheduleTimeout(request);
+}
+
+FlowModel::RouteRequest&
+FlowModel::AddRequest(size_t aRoute, uint32_t aIp)
+{
+  RouteRequest& request = mRouteRequests[aIp];
   request.mRoute = aRoute;
   request.mPhase = *mPhase;
   request.mStart = mNow;
-  request.mCaller = { ip, kFirstPort - 1 };
+  request.mAttempts = 0;
+  request.mDone = false;
+  request.mReceived = false;
+  request.mRunning = false;
+  if (request.mCaller == Address()) {
+    request.mCaller = { aIp, kFirstPort - 1 };
+  }
   ++ResultOf(request).mRequestCount;
-  ScheduleAt(mNow + kUnloadedStartTime, [this, ip] {
-    RouteRequest& waiting = mRouteRequests[ip];
-    SetWaiting(waiting, !waiting.mRunning);
-  });
-  ScheduleAt(mNow + mOptions.mRoutes[aRoute].mObjective, [this, ip] {
-    RouteRequest& waiting = mRouteRequests[ip];
-    SetWaiting(waiting, waiting.mWaiting && !waiting.mDone);
+  // When these times are over, a later request may use the flow.
+  ScheduleAt(mNow + kUnloadedStartTime, [this, aIp, start = mNow] {
+    RouteRequest& waiting = mRouteRequests[aIp];
+    if (waiting.mStart == start) {
+      SetWaiting(waiting, !waiting.mRunning);
+    }
   });
-  StartAttempt(request);
+  ScheduleAt(mNow + mOptions.mRoutes[aRoute].mObjective,
+             [this, aIp, start = mNow] {
+               RouteRequest& waiting = mRouteRequests[aIp];
+               if (waiting.mStart == start) {
+                 SetWaiting(waiting, waiting.mWaiting && !waiting.mDone);
+               }
+             });
+  return request;
 }
 
 void
@@ -844,6 +906,8 @@
 {
   ++aRequest.mAttempts;
   ++aRequest.mCaller.mPort;
+  aRequest.mAttempt = ++mAttemptCount;
+  aRequest.mSent = 0;
   aRequest.mSequence = static_cast<uint32_t>(mRandom.Below(1U << 31));
   aRequest.mOpened = false;
   aRequest.mReceived = false;
@@ -864,10 +928,24 @@
       EndAttempt(aCurrent, false);
     }
   });
+  ScheduleTimeout(aRequest);
+}
+
+void
+FlowModel::ScheduleTimeout(const RouteRequest& aRequest)
+{
+  const ModelRoute& route = mOptions.mRoutes[aRequest.mRoute];
   ScheduleInAttempt(
-    aRequest,
-    mOptions.mRoutes[aRequest.mRoute].mTimeout,
-    [this](RouteRequest& aCurrent) { EndAttempt(aCurrent, false); });
+    aRequest, route.mTimeout, [this, &route](RouteRequest& aCurrent) {
+      if (route.mKeptFlows > 0 && aCurrent.mOpened) {
+        Packet reset;
+        reset.mSource = aCurrent.mCaller;
+        reset.mDestination = route.mAddress;
+        reset.mReset = true;
+        SendFromCaller(reset);
+      }
+      EndAttempt(aCurrent, false);
+    });
 }
 
 void
@@ -876,8 +954,12 @@
                              std::function<void(RouteRequest&)> aAction)
 {
   ScheduleAt(mNow + aDelay,
-             [this, caller = aRequest.mCaller, action = std::move(aAction)] {
-               if (RouteRequest* request = FindAttempt(caller)) {
+             [this,
+              caller = aRequest.mCaller,
+              attempt = aRequest.mAttempt,
+              action = std::move(aAction)] {
+               RouteRequest* request = FindAttempt(caller);
+               if (request && request->mAttempt == attempt) {
                  action(*request);
                }
              });
@@ -895,7 +977,8 @@
 FlowModel::SendRequestData(const RouteRequest& aRequest)
 {
   Packet data =
-    CallerData(aRequest.mCaller, aRequest.mBackendSequence + 1, 100);
+    CallerData(aRequest.mCaller, aRequest.mBackendSequence + 1, kRequestLength);
+  data.mSequence = aRequest.mSent;
   data.mDestination = mOptions.mRoutes[aRequest.mRoute].mAddress;
   SendFromCaller(data);
 }
@@ -924,6 +1007,12 @@
   }
   aRequest.mOpened = true;
   aRequest.mBackendSequence = aPacket.mSequence;
+  SendRequest(aRequest);
+}
+
+void
+FlowModel::SendRequest(const RouteRequest& aRequest)
+{
   SendRequestData(aRequest);
   for (const Duration& wait : kRetransmissionTimes) {
     ScheduleInAttempt(aRequest, wait, [this](RouteRequest& aCurrent) {
@@ -943,6 +1032,9 @@
   const Duration latency = mNow - aRequest.mStart;
   const bool inTime = latency <= mOptions.mRoutes[aRequest.mRoute].mObjective;
   ++(inTime ? result.mInTime : result.mLate);
+  if (mOptions.mRoutes[aRequest.mRoute].mKeptFlows > 0) {
+    mIdleFlows[aRequest.mRoute].push_back(aRequest.mCaller);
+  }
 }
 
 void
--- a/tests/Flow/FlowModel.h
+++ b/tests/Flow/FlowModel.h
@@ -32,6 +32,11 @@
   /// Mean; service times are evenly distributed from half of it to one and a
   /// half times.
   Duration mServiceTime = std::chrono::milliseconds(25);
+  /// Flows that the callers open at the start of RunPhases() and keep open.
+  /// Each request uses the flow that has been idle for longest; a request that
+  /// finds none opens a flow, which is kept, too. 0: each request opens a flow,
+  /// which is closed after the response.
+  size_t mKeptFlows = 0;
 };
 
 /// Parameters of a FlowModel.
@@ -106,6 +111,15 @@
   /// retransmissions of those that the server has answered.
   size_t mSynsAtServers = 0;
   size_t mReturnedSyns = 0;
+  /// Requests that reached backend servers during the phase, without
+  /// retransmissions.
+  size_t mRequestsAtServers = 0;
+  /// Those of them that arrived when the server had as many requests as its
+  /// agent's window: the slots and the look-ahead.
+  size_t mAboveWindow = 0;
+  /// Data packets that reached a backend server before an earlier one of their
+  /// flow.
+  size_t mOutOfOrder = 0;
   size_t mOffers = 0;
   size_t mAcceptedOffers = 0;
   /// Median time from the first attempt of a request that failed to the end of
@@ -170,12 +184,16 @@
 
   bool HasRoutes() const { return !mOptions.mRoutes.empty(); }
   Duration ServiceTimeOf(const Address& aService) const;
+  bool KeepsFlows(const Address& aService) const;
   void RunFor(Duration aTime);
   void BeginPhase(const LoadPhase& aPhase);
   void SetEvacuated(const std::vector<std::string>& aDomains);
   /// Adds the decisions since the last call to the phase's result.
   void CountDecisions();
   void OpenRouteRequest(size_t aRoute);
+  /// Adds a request of the caller with the address aIp, whose earlier requests
+  /// have ended.
+  RouteRequest& AddRequest(size_t aRoute, uint32_t aIp);
   void StartAttempt(RouteRequest& aRequest);
   /// Runs aAction after aDelay if the current attempt of the request has not
   /// ended by then.
@@ -183,6 +201,10 @@
                          Duration aDelay,
                          std::function<void(RouteRequest&)> aAction);
   void SendSyn(const RouteRequest& aRequest, uint32_t aRetransmission);
+  /// Ends the attempt after the route's timeout.
+  void ScheduleTimeout(const RouteRequest& aRequest);
+  /// Sends the request's data and its retransmissions.
+  void SendRequest(const RouteRequest& aRequest);
   void SendRequestData(const RouteRequest& aRequest);
   void DeliverToRouteCaller(const Packet& aPacket);
   void OnRouteSynAck(RouteRequest& aRequest, const Packet& aPacket);
@@ -214,6 +236,9 @@
 
   /// By the caller's IP address.
   std::map<uint32_t, RouteRequest> mRouteRequests;
+  /// By route, the callers of idle flows, the longest idle one first.
+  std::vector<std::deque<Address>> mIdleFlows;
+  uint64_t mAttemptCount = 0;
   std::vector<LoadResult> mLoadResults;
   /// By phase, the times from the first attempts of failed requests to the ends
   /// of their last ones.
--- a/tests/Flow/PriorityLoadTest.cpp
+++ b/tests/Flow/PriorityLoadTest.cpp
@@ -73,6 +73,17 @@
   return options;
 }
 
+/// Both routes' callers keep flows open; the less urgent route has twelve at
+/// each server.
+ModelOptions
+LongFlowOptions(uint64_t aSeed)
+{
+  ModelOptions options = Options(aSeed);
+  options.mRoutes[kUrgent].mKeptFlows = 2 * kServers;
+  options.mRoutes[kOther].mKeptFlows = 12 * kServers;
+  return options;
+}
+
 /// An overload between periods of the usual load.
 struct Overload
 {
@@ -106,26 +117,28 @@
                             << " late, " << route.mFailed << " failed, "
                             << route.mRefusedAtOnce << " refused at once");
   }
-  BOOST_TEST_MESSAGE("  " << aResult.mReturnedSyns << " of "
-                          << aResult.mSynsAtServers << " SYNs returned, "
-                          << aResult.OffersWithoutAcceptance() << " of "
-                          << aResult.mOffers << " offers not accepted, median "
-                          << Seconds(aResult.mMedianFailureTime)
-                          << " s to failure, slots idle for "
-                          << Seconds(aResult.mIdleTime) << " s");
+  BOOST_TEST_MESSAGE(
+    "  " << aResult.mReturnedSyns << " of " << aResult.mSynsAtServers
+         << " SYNs returned, " << aResult.OffersWithoutAcceptance() << " of "
+         << aResult.mOffers << " offers not accepted, median "
+         << Seconds(aResult.mMedianFailureTime)
+         << " s to failure, slots idle for " << Seconds(aResult.mIdleTime)
+         << " s, " << aResult.mAboveWindow << " of "
+         << aResult.mRequestsAtServers
+         << " requests above the servers' windows");
 }
 
 std::vector<LoadResult>
-RunOverload(const Overload& aOverload, uint64_t aSeed)
+RunOverload(const Overload& aOverload, const ModelOptions& aOptions)
 {
   const std::vector<double> usual = RatesAt(kUsualLoad);
-  FlowModel model(Options(aSeed));
+  FlowModel model(aOptions);
   // The overload has to be over after one second of the usual load.
   auto results = model.RunPhases({ { 2s, usual, {} },
                                    aOverload.mPhase,
                                    { 1s, usual, {} },
                                    { 4s, usual, {} } });
-  BOOST_TEST_MESSAGE("seed " << aSeed);
+  BOOST_TEST_MESSAGE("seed " << aOptions.mSeed);
   for (const LoadResult& result : results) {
     Report(result);
   }
@@ -152,7 +165,7 @@
 CheckOverload(const Overload& aOverload)
 {
   for (const uint64_t seed : kSeeds) {
-    const LoadResult result = RunOverload(aOverload, seed)[kOverload];
+    const LoadResult result = RunOverload(aOverload, Options(seed))[kOverload];
     const RouteResult& urgent = result.mRoutes[kUrgent];
     const auto servable = Servable(result, aOverload.mFreeSlots);
     const RouteResult total = result.Total();
@@ -187,7 +200,7 @@
 CheckRecovery(const Overload& aOverload)
 {
   for (const uint64_t seed : kSeeds) {
-    const auto results = RunOverload(aOverload, seed);
+    const auto results = RunOverload(aOverload, Options(seed));
     for (const size_t phase : { kBefore, kAfter }) {
       const RouteResult total = results[phase].Total();
       BOOST_TEST(total.mInTime == total.mRequestCount);
@@ -228,4 +241,29 @@
   CheckRecovery(AllRoutesOverload());
 }
 
+// Guards against urgent requests that wait behind the requests of other open
+// flows in the server's queue, and against servers that get more requests than
+// their window. Requests that have waited for half of their timeout may exceed
+// it.
+BOOST_AUTO_TEST_CASE(LongFlowsOfOneRouteAboveItsRate)
+{
+  std::vector<double> rates = RatesAt(kUsualLoad);
+  rates[kOther] *= 2.6;
+  const Overload overload{ { kOverloadTime, rates, {} }, kServers * kSlots };
+  for (const uint64_t seed : kSeeds) {
+    const auto results = RunOverload(overload, LongFlowOptions(seed));
+    const LoadResult& result = results[kOverload];
+    const RouteResult& urgent = result.mRoutes[kUrgent];
+    const auto inTime = static_cast<double>(urgent.mInTime) /
+                        static_cast<double>(urgent.mRequestCount);
+    const auto aboveWindow = static_cast<double>(result.mAboveWindow) /
+                             static_cast<double>(result.mRequestsAtServers);
+    BOOST_TEST_MESSAGE("  urgent " << inTime << ", above the window "
+                                   << aboveWindow);
+    BOOST_TEST(inTime >= 0.98);
+    BOOST_TEST(aboveWindow < 0.01);
+    BOOST_TEST(result.mOutOfOrder == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
