Flow: measured capacity in replies

Replies with waits said nothing about how fast a server works, and a server with many open flows looked idle between their requests. They now also carry the mean service time and the utilisation, as entries of the reserved priorities 255 and 254 after the waits, while the limit of 4 entries allows. Decoders of the previous version read them as waits of priorities that no flow has. Entry instances keep them with the waits, for 10 s; WaitReport has the same size as before.

Less urgent priorities than 253 are reported as 253. The encoder limits the slots of type 5 to 511, above which some replies could be taken for packets.

UpdateServiceTime() and UpdateCapacity() shared the estimate at full load and are joined; the samples are the same. AdmissionGate's ExpectedWait() is now TimeToFreeSlot(). AgentView::mLastRefusal and AgentFlow::mNotifiedEntry were never read.

--- a/include/snipepost/Flow/AdmissionGate.h
+++ b/include/snipepost/Flow/AdmissionGate.h
@@ -56,6 +56,6 @@
 /// Expected time until a slot is free for a request that arrives after aLoad
 /// others.
 Duration
-ExpectedWait(uint32_t aLoad, uint32_t aSlots, Duration aServiceTime);
+TimeToFreeSlot(uint32_t aLoad, uint32_t aSlots, Duration aServiceTime);
 
 } // namespace snipepost::flow
--- a/include/snipepost/Flow/BackendCapacity.h
+++ b/include/snipepost/Flow/BackendCapacity.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include <snipepost/Base/Address.h>
@@ -54,6 +55,8 @@
   Duration ServiceTime(const Address& aRoute) const;
   /// Mean over the requests of all routes; an assumed one before the first.
   Duration MeanServiceTime() const;
+  /// Mean over the requests of all routes; nothing before the first.
+  std::optional<Duration> MeasuredServiceTime() const;
   /// Requests that the server queues beyond its slots.
   uint32_t QueueLimit(Instant aNow) const;
   /// Flows to forward beyond the slots, so that no slot is idle while the next
--- a/include/snipepost/Flow/Candidates.h
+++ b/include/snipepost/Flow/Candidates.h
@@ -13,10 +13,16 @@
 
 namespace snipepost::flow {
 
-/// The expected waits that an agent reported, in whole milliseconds. Kept
-/// small, since an entry instance may have thousands of agents.
+/// Requests of a cold backend server take longer by this factor.
+constexpr double kColdFactor = 1.6;
+
+/// The expected waits and the capacity that an agent reported, in whole
+/// milliseconds. Kept small, since an entry instance may have thousands of
+/// agents.
 struct WaitReport
 {
+  static constexpr uint16_t kUnknownUtilisation = UINT16_MAX;
+
   struct Wait
   {
     uint16_t mMilliseconds = 0;
@@ -25,6 +31,10 @@
 
   std::array<Wait, OfferReply::kMaxWaits> mWaits{};
   uint8_t mCount = 0;
+  /// Mean service time; 0 when unknown.
+  uint16_t mServiceMilliseconds = 0;
+  /// In per mille.
+  uint16_t mUtilisation = kUnknownUtilisation;
   Instant mAt;
 };
 
@@ -45,7 +55,6 @@
   Instant mUnansweredSince;
   /// No offer is made before this time unless no other candidate is left.
   Instant mAvoidUntil;
-  Refusal mLastRefusal = Refusal::None;
   /// Whether the last reply announced that the agent reads
   /// Packet::mReadsWaits, and when it arrived.
   bool mAnnouncedWaits = false;
@@ -69,7 +78,7 @@
 double
 EstimatedLoad(const AgentView& aView, Instant aNow);
 
-/// Takes the announcement and the waits of a reply into aView.
+/// Takes the announcement, the waits and the capacity of a reply into aView.
 void
 UpdateWaits(AgentView& aView, const OfferReply& aReply, Instant aNow);
 
@@ -84,6 +93,16 @@
 std::optional<Duration>
 ExpectedWait(const AgentView& aView, uint32_t aPriority, Instant aNow);
 
+/// The mean service time that the agent reported; nothing when it is unknown,
+/// or the report is older than 10 s.
+std::optional<Duration>
+ReportedServiceTime(const AgentView& aView, Instant aNow);
+
+/// The utilisation that the agent reported, from 0 to 1; nothing when it is
+/// unknown, or the report is older than 10 s.
+std::optional<double>
+ReportedUtilisation(const AgentView& aView, Instant aNow);
+
 /// Index of the best candidate in aCandidates: reachable ones first, then by
 /// expected wait, which includes the network path and the slower service of a
 /// cold backend server. Nothing when aCandidates is empty.
--- a/include/snipepost/Flow/FlowAgentCore.h
+++ b/include/snipepost/Flow/FlowAgentCore.h
@@ -15,6 +15,7 @@
 #include <snipepost/Flow/Decision.h>
 #include <snipepost/Flow/FlowScheduler.h>
 #include <snipepost/Flow/Packet.h>
+#include <snipepost/Flow/UtilisationMean.h>
 
 namespace snipepost::flow {
 
@@ -142,8 +143,6 @@
     bool mBackendFin = false;
     /// Entry instance that sent the latest packet.
     cluster::NodeIp mEntry;
-    /// Entry instance that was last notified of the ownership.
-    cluster::NodeIp mNotifiedEntry;
     /// mEntry decodes replies with expected waits.
     bool mEntryReadsWaits = false;
     Instant mOpenedAt;
@@ -234,19 +233,21 @@
                       uint32_t aBackendSequence,
                       Refusal aRefusal,
                       Instant aNow);
-  void NotifyOwned(const FlowTuple& aTuple, AgentFlow& aFlow);
+  void NotifyOwned(const FlowTuple& aTuple, const AgentFlow& aFlow);
   void NotifyNotOwned(const FlowTuple& aTuple,
                       cluster::NodeIp aFrom,
                       bool aLookedUp,
                       Instant aNow);
   /// Counts a packet that ends a request as its response or its failure.
   void CountResult(const AgentFlow& aFlow, const Packet& aPacket, Instant aNow);
-  /// Updates the mean service time when a response ends a request.
-  void UpdateServiceTime(const AgentFlow& aFlow, Instant aNow);
-  /// Passes the service time of a request to the scheduler.
-  void UpdateCapacity(const FlowTuple& aTuple,
-                      const AgentFlow& aFlow,
-                      Instant aNow);
+  /// Updates the service times of the agent and of the scheduler when a
+  /// response ends a request.
+  void UpdateServiceTimes(const FlowTuple& aTuple,
+                          const AgentFlow& aFlow,
+                          Instant aNow);
+  /// Estimated time for which a request that ends now has occupied a slot when
+  /// it arrived at aSince; nothing while it can't be estimated.
+  std::optional<Duration> SlotTime(Instant aSince, Instant aNow) const;
   /// False when the caller continued the flow with the SYN-ACK of another
   /// backend server.
   bool ChosenByCaller(const AgentFlow& aFlow, const Packet& aPacket) const;
@@ -295,6 +296,7 @@
   bool mRefusesNewFlows = false;
   Flows mFlows;
   uint32_t mLoad = 0;
+  UtilisationMean mUtilisation;
   Duration mServiceTime;
   /// Time of the latest response while every slot is busy; nothing while one is
   /// free.
--- a/include/snipepost/Flow/NodeMessage.h
+++ b/include/snipepost/Flow/NodeMessage.h
@@ -74,12 +74,26 @@
   /// Refusal::Queued, has a type of its own, which entry instances of the
   /// previous version can't decode.
   std::vector<ReportedWait> mWaits;
+  /// Mean service time of the backend server; nothing while it is unknown.
+  /// Encoded in whole milliseconds from 1 to 65,535, like mUtilisation only in
+  /// replies with waits, and only while kMaxWaits allows a further entry.
+  std::optional<Duration> mServiceTime;
+  /// Utilisation of the backend server in per mille, at most 1000. Encoded
+  /// after mServiceTime.
+  std::optional<uint16_t> mUtilisation;
   /// The agent reads Packet::mReadsWaits. Not encoded for a cold backend
   /// server, unless the reply has waits or is Refusal::Queued.
   bool mAnnouncesWaits = false;
 
-  /// Limit of mWaits; further ones are not encoded.
+  /// Limit of the waits and the values after them; further ones are not
+  /// encoded.
   static constexpr size_t kMaxWaits = 4;
+  /// Least urgent priority that is reported. Less urgent routes count as this
+  /// one, because two further values have a meaning of their own in messages.
+  static constexpr uint8_t kMaxPriority = 253;
+  /// Most slots that a reply with waits reports; more are encoded as this many.
+  /// Above it, entry instances would take some replies for callers' packets.
+  static constexpr uint16_t kMaxSlots = 511;
 
   bool operator==(const OfferReply&) const = default;
 };
--- a/src/Flow/AdmissionGate.cpp
+++ b/src/Flow/AdmissionGate.cpp
@@ -51,14 +51,14 @@
     return Refusal::Busy;
   }
   const Duration wait =
-    ExpectedWait(aInputs.mLoad, slots, aInputs.mServiceTime);
+    TimeToFreeSlot(aInputs.mLoad, slots, aInputs.mServiceTime);
   return wait > LongestWait(aInputs) ? Refusal::Full : Refusal::None;
 }
 
 } // namespace
 
 Duration
-ExpectedWait(uint32_t aLoad, uint32_t aSlots, Duration aServiceTime)
+TimeToFreeSlot(uint32_t aLoad, uint32_t aSlots, Duration aServiceTime)
 {
   if (aLoad < aSlots) {
     return Duration::zero();
--- a/src/Flow/BackendCapacity.cpp
+++ b/src/Flow/BackendCapacity.cpp
@@ -132,6 +132,13 @@
   return mServiceTime.IsEmpty() ? kInitialServiceTime : mServiceTime.Mean();
 }
 
+std::optional<Duration>
+BackendCapacity::MeasuredServiceTime() const
+{
+  return mServiceTime.IsEmpty() ? std::nullopt
+                                : std::optional(mServiceTime.Mean());
+}
+
 uint32_t
 BackendCapacity::QueueLimit(Instant aNow) const
 {
--- a/src/Flow/Candidates.cpp
+++ b/src/Flow/Candidates.cpp
@@ -13,13 +13,23 @@
 
 // Costs are in units of a request's service time.
 constexpr double kRemotePenalty = 0.35; // For a round trip of about 8 ms.
-constexpr double kColdFactor = 1.6;     // Requests take longer after a start.
 constexpr double kAvoidPenalty = 1e3;
 
 /// Age at which an agent's announcement is forgotten.
 constexpr Duration kAnnouncementAge = std::chrono::seconds(10);
 /// Age at which reported waits are ignored: several service times.
 constexpr Duration kWaitReportAge = std::chrono::milliseconds(500);
+/// Age at which a reported capacity is ignored. It changes more slowly than
+/// waits do.
+constexpr Duration kCapacityReportAge = std::chrono::seconds(10);
+
+uint16_t
+Milliseconds(Duration aTime)
+{
+  const auto count =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  return static_cast<uint16_t>(std::clamp<int64_t>(count, 0, UINT16_MAX));
+}
 
 double
 Cost(const Candidate& aCandidate, Instant aNow)
@@ -66,13 +76,13 @@
     if (report.mCount == report.mWaits.size()) {
       break;
     }
-    const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(wait.mWait).count();
-    report.mWaits.at(report.mCount++) = {
-      static_cast<uint16_t>(std::clamp<int64_t>(milliseconds, 0, UINT16_MAX)),
-      wait.mPriority
-    };
+    report.mWaits.at(report.mCount++) = { Milliseconds(wait.mWait),
+                                          wait.mPriority };
   }
+  report.mServiceMilliseconds =
+    Milliseconds(aReply.mServiceTime.value_or(Duration::zero()));
+  report.mUtilisation =
+    aReply.mUtilisation.value_or(WaitReport::kUnknownUtilisation);
 }
 
 bool
@@ -101,6 +111,28 @@
               : std::nullopt;
 }
 
+std::optional<Duration>
+ReportedServiceTime(const AgentView& aView, Instant aNow)
+{
+  const WaitReport& report = aView.mWaits;
+  if (report.mServiceMilliseconds == 0 ||
+      aNow - report.mAt > kCapacityReportAge) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(report.mServiceMilliseconds);
+}
+
+std::optional<double>
+ReportedUtilisation(const AgentView& aView, Instant aNow)
+{
+  const WaitReport& report = aView.mWaits;
+  if (report.mUtilisation == WaitReport::kUnknownUtilisation ||
+      aNow - report.mAt > kCapacityReportAge) {
+    return std::nullopt;
+  }
+  return report.mUtilisation / 1000.0;
+}
+
 std::optional<size_t>
 BestCandidate(const std::vector<Candidate>& aCandidates, Instant aNow)
 {
--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -1,6 +1,7 @@
 #include <snipepost/Flow/FlowAgentCore.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace snipepost::flow {
 
@@ -352,7 +353,6 @@
   AgentFlow& flow = mFlows[aTuple];
   flow.mCallerSequence = aCallerSequence;
   flow.mEntry = aFrom;
-  flow.mNotifiedEntry = aFrom;
   flow.mEntryReadsWaits = aEntryReadsWaits;
   flow.mOpenedAt = aNow;
   flow.mStartedAt = aNow;
@@ -385,15 +385,17 @@
     reply.mAnnouncesWaits = true;
     if (aTo.mReadsWaits) {
       reply.mWaits = mScheduler.Waits(CurrentLoad(), aNow);
+      reply.mServiceTime = mScheduler.Capacity().MeasuredServiceTime();
+      reply.mUtilisation =
+        static_cast<uint16_t>(std::lround(mUtilisation.At(aNow) * 1000.0));
     }
   }
   mOutput.SendToNode(aTo.mEntry, reply);
 }
 
 void
-FlowAgentCore::NotifyOwned(const FlowTuple& aTuple, AgentFlow& aFlow)
+FlowAgentCore::NotifyOwned(const FlowTuple& aTuple, const AgentFlow& aFlow)
 {
-  aFlow.mNotifiedEntry = aFlow.mEntry;
   mOutput.SendToNode(aFlow.mEntry, OwnerNotice{ aTuple, true });
 }
 
--- a/src/Flow/FlowAgentCoreBackend.cpp
+++ b/src/Flow/FlowAgentCoreBackend.cpp
@@ -116,8 +116,7 @@
   const bool responds = aPacket.mLength > 0 || aPacket.mFin || aPacket.mReset;
   if (responds && aFlow.mBusy) {
     CountResult(aFlow, aPacket, aNow);
-    UpdateServiceTime(aFlow, aNow);
-    UpdateCapacity(aTuple, aFlow, aNow);
+    UpdateServiceTimes(aTuple, aFlow, aNow);
     SetBusy(aFlow, false, aNow);
     if (mLoad >= mStatus.Slots()) {
       mLastResponseAtFullLoad = aNow;
@@ -142,43 +141,38 @@
   }
 }
 
-// With a free slot, the time until the response is the service time. While all
-// slots are busy, a request also waits for one; then the interval between
-// responses is the service time divided by the number of slots.
+// The agent's own mean includes the time in which a flow is opened, as without
+// scheduling a slot counts as busy then. The scheduler's does not.
 void
-FlowAgentCore::UpdateServiceTime(const AgentFlow& aFlow, Instant aNow)
+FlowAgentCore::UpdateServiceTimes(const FlowTuple& aTuple,
+                                  const AgentFlow& aFlow,
+                                  Instant aNow)
 {
   if (!aFlow.mEstablished) {
     return;
   }
-  Duration sample{};
-  if (mLoad <= mStatus.Slots()) {
-    sample = aNow - aFlow.mBusySince;
-  } else if (mLastResponseAtFullLoad) {
-    sample = (aNow - *mLastResponseAtFullLoad) * mStatus.Slots();
-  } else {
-    return;
+  if (const auto time = SlotTime(aFlow.mBusySince, aNow)) {
+    mServiceTime = (mServiceTime * 15 + *time) / 16;
+  }
+  const auto served = SlotTime(aFlow.mRequestAt, aNow);
+  if (served && aFlow.mRequestAt != Instant()) {
+    mScheduler.Capacity().OnServed(aTuple.mService, *served);
   }
-  mServiceTime = (mServiceTime * 15 + sample) / 16;
 }
 
-// Unlike UpdateServiceTime(), leaves out the time in which the flow was opened,
-// since no slot is occupied then. At full load the sample is an estimate from
-// the spacing of all responses.
-void
-FlowAgentCore::UpdateCapacity(const FlowTuple& aTuple,
-                              const AgentFlow& aFlow,
-                              Instant aNow)
+// With a free slot, the time until the response is the service time. While all
+// slots are busy, a request also waits for one; then the interval between
+// responses is the service time divided by the number of slots.
+std::optional<Duration>
+FlowAgentCore::SlotTime(Instant aSince, Instant aNow) const
 {
-  if (!aFlow.mEstablished || aFlow.mRequestAt == Instant()) {
-    return;
-  }
   if (mLoad <= mStatus.Slots()) {
-    mScheduler.Capacity().OnServed(aTuple.mService, aNow - aFlow.mRequestAt);
-  } else if (mLastResponseAtFullLoad) {
-    mScheduler.Capacity().OnServed(
-      aTuple.mService, (aNow - *mLastResponseAtFullLoad) * mStatus.Slots());
+    return aNow - aSince;
+  }
+  if (!mLastResponseAtFullLoad) {
+    return std::nullopt;
   }
+  return (aNow - *mLastResponseAtFullLoad) * mStatus.Slots();
 }
 
 void
@@ -299,6 +293,7 @@
   aFlow.mBusy = aBusy;
   aFlow.mBusySince = aNow;
   mLoad = aBusy ? mLoad + 1 : mLoad - 1;
+  mUtilisation.Set(mLoad, mStatus.Slots(), aNow);
   if (mLoad < mStatus.Slots()) {
     mLastResponseAtFullLoad.reset();
   }
--- a/src/Flow/FlowAgentCoreIncarnations.cpp
+++ b/src/Flow/FlowAgentCoreIncarnations.cpp
@@ -118,6 +118,7 @@
   mReturnsPackets = false;
   mBreaker = CircuitBreaker();
   mScheduler.ResetCapacity();
+  mUtilisation = UtilisationMean();
   mLastResponseAtFullLoad.reset();
   RemoveAnsweredSyns();
 }
--- a/src/Flow/FlowEntryCoreReplies.cpp
+++ b/src/Flow/FlowEntryCoreReplies.cpp
@@ -69,7 +69,6 @@
   aView.mLoadAt = aNow;
   aView.mCold = aReply.mCold;
   aView.mUnansweredOffers = 0;
-  aView.mLastRefusal = aReply.mRefusal;
   UpdateWaits(aView, aReply, aNow);
   aView.mAvoidUntil = aNow + AvoidTime(aReply.mRefusal);
 }
--- a/src/Flow/FlowScheduler.cpp
+++ b/src/Flow/FlowScheduler.cpp
@@ -196,8 +196,10 @@
     const FlowQueue::Order order{ level.mPriority,
                                   aNow + level.mObjective,
                                   mCapacity.MeanServiceTime() };
-    waits.push_back({ static_cast<uint8_t>(std::min(level.mPriority, 255U)),
-                      atServer + mQueue.WaitAhead(order, aLoad.mSlots, aNow) });
+    const auto priority = static_cast<uint8_t>(
+      std::min<uint32_t>(level.mPriority, OfferReply::kMaxPriority));
+    waits.push_back(
+      { priority, atServer + mQueue.WaitAhead(order, aLoad.mSlots, aNow) });
   }
   return waits;
 }
--- a/src/Flow/NodeMessage.cpp
+++ b/src/Flow/NodeMessage.cpp
@@ -34,6 +34,13 @@
 constexpr uint8_t kCold = 1;
 constexpr uint8_t kAnnouncesWaits = 2;
 
+// Priorities in OfferReplyWithWaits that carry values other than waits. Nodes
+// of the previous version read them as waits of priorities that no flow has.
+constexpr uint8_t kServiceTimeEntry = 255;
+constexpr uint8_t kUtilisationEntry = 254;
+constexpr uint16_t kMaxUtilisation = 1000;
+static_assert(OfferReply::kMaxPriority < kUtilisationEntry);
+
 void
 WriteAddress(ByteWriter& aOut, const Address& aAddress)
 {
@@ -140,14 +147,46 @@
   return !aReply.mWaits.empty() || aReply.mRefusal == Refusal::Queued;
 }
 
+/// A priority or a reserved value of that byte, and what it carries.
+using WaitEntry = std::pair<uint8_t, uint16_t>;
+
 void
 WriteWaits(ByteWriter& aOut, const OfferReply& aReply)
 {
-  const size_t count = std::min(aReply.mWaits.size(), OfferReply::kMaxWaits);
+  std::vector<WaitEntry> entries;
+  for (const ReportedWait& wait : aReply.mWaits) {
+    entries.emplace_back(std::min(wait.mPriority, OfferReply::kMaxPriority),
+                         Milliseconds(wait.mWait));
+  }
+  if (!entries.empty() && aReply.mServiceTime) {
+    // Zero would be read as an unknown time.
+    entries.emplace_back(
+      kServiceTimeEntry,
+      std::max<uint16_t>(Milliseconds(*aReply.mServiceTime), 1));
+  }
+  if (!entries.empty() && aReply.mUtilisation) {
+    entries.emplace_back(kUtilisationEntry,
+                         std::min(*aReply.mUtilisation, kMaxUtilisation));
+  }
+  const size_t count = std::min(entries.size(), OfferReply::kMaxWaits);
   aOut.U8(static_cast<uint8_t>(count));
   for (size_t i = 0; i < count; ++i) {
-    aOut.U8(aReply.mWaits[i].mPriority);
-    aOut.U16(Milliseconds(aReply.mWaits[i].mWait));
+    aOut.U8(entries[i].first);
+    aOut.U16(entries[i].second);
+  }
+}
+
+void
+ReadWaitEntry(ByteReader& aIn, OfferReply& aReply)
+{
+  const uint8_t kind = aIn.U8();
+  const uint16_t value = aIn.U16();
+  if (kind == kServiceTimeEntry) {
+    aReply.mServiceTime = std::chrono::milliseconds(value);
+  } else if (kind == kUtilisationEntry) {
+    aReply.mUtilisation = std::min(value, kMaxUtilisation);
+  } else {
+    aReply.mWaits.push_back({ kind, std::chrono::milliseconds(value) });
   }
 }
 
@@ -161,7 +200,8 @@
   aOut.U8(static_cast<uint8_t>(aReply.mRefusal));
   aOut.U32(aReply.mBackendSequence);
   aOut.U16(aReply.mLoad);
-  aOut.U16(aReply.mSlots);
+  aOut.U16(hasWaits ? std::min(aReply.mSlots, OfferReply::kMaxSlots)
+                    : aReply.mSlots);
   if (hasWaits) {
     aOut.U8(aReply.mCold ? kCold : 0);
     WriteWaits(aOut, aReply);
@@ -253,8 +293,7 @@
   }
   reply->mAnnouncesWaits = true;
   for (size_t i = 0; i < count; ++i) {
-    const uint8_t priority = aIn.U8();
-    reply->mWaits.push_back({ priority, std::chrono::milliseconds(aIn.U16()) });
+    ReadWaitEntry(aIn, *reply);
   }
   return std::move(*reply);
 }
--- a/tests/Flow/AdmissionGateTest.cpp
+++ b/tests/Flow/AdmissionGateTest.cpp
@@ -111,11 +111,11 @@
   BOOST_TEST((Admit(inputs) == Refusal::None));
 }
 
-BOOST_AUTO_TEST_CASE(ExpectedWaitGrowsWithTheQueue)
+BOOST_AUTO_TEST_CASE(TimeToFreeSlotGrowsWithTheQueue)
 {
-  BOOST_TEST((ExpectedWait(3, 4, 20ms) == 0ms));
-  BOOST_TEST((ExpectedWait(4, 4, 20ms) == 5ms));
-  BOOST_TEST((ExpectedWait(11, 4, 20ms) == 40ms));
+  BOOST_TEST((TimeToFreeSlot(3, 4, 20ms) == 0ms));
+  BOOST_TEST((TimeToFreeSlot(4, 4, 20ms) == 5ms));
+  BOOST_TEST((TimeToFreeSlot(11, 4, 20ms) == 40ms));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Flow/NodeMessageTest.cpp
+++ b/tests/Flow/NodeMessageTest.cpp
@@ -40,6 +40,8 @@
   reply.mCold = true;
   OfferReply waits = reply;
   waits.mWaits = { { 0, 12ms }, { 3, 65535ms } };
+  waits.mServiceTime = 47ms;
+  waits.mUtilisation = 950;
   waits.mAnnouncesWaits = true;
   OfferReply queued;
   queued.mRefusal = Refusal::Queued;
@@ -138,6 +140,47 @@
   BOOST_TEST(!DecodeMessage(bytes).has_value());
 }
 
+// Guards against an entry instance of the previous version that takes the
+// service time for a wait, and against waits that give way to it. That version
+// takes the last entry whose priority is not above the flow's as its wait.
+BOOST_AUTO_TEST_CASE(CapacityIsNoWaitForThePreviousVersion)
+{
+  const std::vector<ReportedWait> waits = {
+    { 1, 10ms }, { 2, 20ms }, { 3, 30ms }, { 255, 40ms }
+  };
+  for (size_t count = 1; count <= waits.size(); ++count) {
+    OfferReply reply;
+    reply.mWaits = waits;
+    reply.mWaits.resize(count);
+    reply.mServiceTime = 100us;
+    reply.mUtilisation = 2000;
+    const auto bytes = EncodeMessage(reply);
+    constexpr size_t kEntries = kLastOffset + 2;
+    BOOST_TEST(bytes.at(kEntries - 1) <= OfferReply::kMaxWaits);
+    for (const uint8_t priority : { 1, 2, 3, 253 }) {
+      int previous = -1;
+      for (size_t at = kEntries; at < bytes.size(); at += 3) {
+        if (bytes.at(at) <= priority) {
+          previous = bytes.at(at + 1) * 256 + bytes.at(at + 2);
+        }
+      }
+      const size_t level = priority == 253 ? count : priority;
+      BOOST_TEST(previous == static_cast<int>(10 * std::min(level, count)));
+    }
+    const auto decoded = std::get<OfferReply>(DecodeMessage(bytes).value());
+    BOOST_TEST(decoded.mWaits.size() == count);
+    BOOST_TEST(decoded.mServiceTime.has_value() == (count < 4));
+    BOOST_TEST(decoded.mUtilisation.has_value() == (count < 3));
+    BOOST_TEST((decoded.mServiceTime.value_or(1ms) == 1ms));
+    BOOST_TEST(decoded.mUtilisation.value_or(1000) == 1000U);
+  }
+  // Without reserved entries, as the previous version writes the message.
+  OfferReply previous;
+  previous.mWaits = { { 1, 10ms } };
+  previous.mAnnouncesWaits = true;
+  BOOST_TEST((DecodeMessage(EncodeMessage(previous)) == NodeMessage(previous)));
+}
+
 // Messages of agents share a socket with packets, which have 32 bytes or more.
 // Replies with waits are longer
 // (PacketCodecTest/RepliesWithWaitsAreNotPackets).
--- a/tests/platform/PacketCodecTest.cpp
+++ b/tests/platform/PacketCodecTest.cpp
@@ -96,7 +96,8 @@
 BOOST_AUTO_TEST_CASE(RepliesWithWaitsAreNotPackets)
 {
   for (size_t waits = 0; waits <= flow::OfferReply::kMaxWaits; ++waits) {
-    for (uint16_t value = 0; value < 512; ++value) {
+    // More slots are encoded as OfferReply::kMaxSlots.
+    for (uint16_t value = 0; value < 4096; ++value) {
       flow::OfferReply reply;
       reply.mRefusal = flow::Refusal::Queued;
       reply.mWaits.resize(waits);
