Flow: placement by expected completion

Placement counted requests, but ignored how fast a server works: with half of the servers twice as fast and .8 of the capacity in demand, the utilisation of the slow servers was .93 and that of the fast ones .73, and long flows stayed at slow servers.

For services that are scheduled, the final offer goes to the candidate with the earliest expected completion, from the reported wait, service time and utilisation. An agent's refusal excludes others by wait and service time, by the wait alone if requests are not idempotent.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -209,14 +209,22 @@
                  const Candidate& aCandidate,
                  TransitMark aMark,
                  Instant aNow);
-  /// Removes the candidates that would refuse the flow: their reported waits
-  /// are at least as long as that of an agent that has refused it as full.
+  /// Removes the candidates that would refuse the flow: its response would come
+  /// no earlier than from an agent that has refused it as full.
   void RemoveRefusing(const EntryFlow& aFlow,
-                      uint32_t aPriority,
+                      const cluster::Route& aRoute,
                       std::vector<Candidate>& aCandidates,
                       Instant aNow) const;
-  /// Makes the final offer to the candidate with the shortest expected wait if
-  /// flows wait at all of them. False when one may have a free slot.
+  /// Index of the candidate that the flow is offered to next; nothing when
+  /// there is none.
+  std::optional<size_t> ChooseCandidate(
+    const cluster::Route& aRoute,
+    const std::string& aService,
+    const std::vector<Candidate>& aCandidates,
+    Instant aNow) const;
+  /// Makes the final offer to the candidate with the earliest expected
+  /// completion if flows wait at all of them. False when one may have a free
+  /// slot.
   bool OfferForQueueing(const FlowTuple& aTuple,
                         EntryFlow& aFlow,
                         const cluster::Route& aRoute,
@@ -228,13 +236,18 @@
                         EntryFlow& aFlow,
                         const std::string& aService,
                         Instant aNow);
-  /// The offer to a busy agent with the least expected wait for the priority of
-  /// the flow if all of them have reported one, otherwise with the least load;
-  /// null when there is none.
+  /// The offer to a busy agent with the earliest expected completion if all of
+  /// them have reported a wait for the priority of the flow, otherwise with the
+  /// least load; null when there is none.
   const Offer* BestBusyOffer(const FlowTuple& aTuple,
                              const EntryFlow& aFlow,
                              const std::string& aService,
                              Instant aNow) const;
+  /// The offer to the agent with the earliest expected completion; null when no
+  /// service time is known.
+  const Offer* SoonestOffer(const std::vector<const Offer*>& aOffers,
+                            uint32_t aPriority,
+                            Instant aNow) const;
   /// Offers the SYNs that arrived before the shared state.
   void OfferDeferredFlows(Instant aNow);
   void FailPlacement(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -92,7 +92,7 @@
   const std::string& service = ServiceOf(route->second, aTuple);
   auto candidates = EligibleCandidates(aTuple, aFlow, service);
   if (IsScheduled(service)) {
-    RemoveRefusing(aFlow, route->second.mPriority, candidates, aNow);
+    RemoveRefusing(aFlow, route->second, candidates, aNow);
     if (OfferForQueueing(aTuple, aFlow, route->second, candidates, aNow)) {
       return;
     }
@@ -104,7 +104,9 @@
     return;
   }
   const auto best =
-    made < kMaxOffers ? BestCandidate(candidates, aNow) : std::nullopt;
+    made < kMaxOffers
+      ? ChooseCandidate(route->second, service, candidates, aNow)
+      : std::nullopt;
   if (best) {
     const bool isFinal = made >= kFreeSlotOffers || candidates.size() == 1;
     SendOffer(aTuple,
--- a/src/Flow/FlowEntryCoreScheduling.cpp
+++ b/src/Flow/FlowEntryCoreScheduling.cpp
@@ -1,6 +1,7 @@
 // Flows of services that are scheduled by priority: SYNs that agents hold, the
-// choice by expected wait, and the throttle.
+// choice by expected wait or completion, and the throttle.
 
+#include <snipepost/Flow/ExpectedCompletion.h>
 #include <snipepost/Flow/FlowEntryCore.h>
 
 #include <algorithm>
@@ -18,6 +19,30 @@
   std::chrono::milliseconds(600),
 };
 
+/// True when flows of the route wait for the response at least as long at the
+/// agent as at aOther, whose wait it must have reported. An agent decides by
+/// the time until the response, or by the wait alone if the request is not
+/// idempotent.
+bool
+WaitsAsLong(const AgentView& aView,
+            const AgentView& aOther,
+            const cluster::Route& aRoute,
+            Instant aNow)
+{
+  const auto wait = ExpectedWait(aView, aRoute.mPriority, aNow);
+  const auto otherWait = ExpectedWait(aOther, aRoute.mPriority, aNow);
+  if (!wait || !otherWait || *wait == Duration::zero()) {
+    return false;
+  }
+  const auto service = ReportedServiceTime(aView, aNow);
+  const auto otherService = ReportedServiceTime(aOther, aNow);
+  if (aRoute.mKind == cluster::RequestKind::Unsafe || !service ||
+      !otherService) {
+    return *wait >= *otherWait;
+  }
+  return *wait + *service >= *otherWait + *otherService;
+}
+
 } // namespace
 
 void
@@ -146,28 +171,22 @@
 // several, and their replies would take the time in which its caller can retry.
 void
 FlowEntryCore::RemoveRefusing(const EntryFlow& aFlow,
-                              uint32_t aPriority,
+                              const cluster::Route& aRoute,
                               std::vector<Candidate>& aCandidates,
                               Instant aNow) const
 {
-  std::optional<Duration> refused;
+  std::vector<const AgentView*> refusing;
   for (const Offer& offer : aFlow.mOffers) {
     const auto view = mViews.find(offer.mAgent);
-    if (offer.mState != OfferState::Refused ||
-        offer.mRefusal != Refusal::Full || view == mViews.end()) {
-      continue;
+    if (offer.mState == OfferState::Refused &&
+        offer.mRefusal == Refusal::Full && view != mViews.end()) {
+      refusing.push_back(&view->second);
     }
-    const auto wait = ExpectedWait(view->second, aPriority, aNow);
-    if (wait && (!refused || *wait < *refused)) {
-      refused = wait;
-    }
-  }
-  if (!refused) {
-    return;
   }
   std::erase_if(aCandidates, [&](const Candidate& aCandidate) {
-    const auto wait = ExpectedWait(*aCandidate.mView, aPriority, aNow);
-    return wait && *wait > Duration::zero() && *wait >= *refused;
+    return std::ranges::any_of(refusing, [&](const AgentView* aRefusing) {
+      return WaitsAsLong(*aCandidate.mView, *aRefusing, aRoute, aNow);
+    });
   });
 }
 
@@ -181,8 +200,7 @@
   if (aFlow.mOffers.size() >= kMaxOffers) {
     return false;
   }
-  const Candidate* best = nullptr;
-  Duration shortest = Duration::max();
+  std::vector<Candidate> queues;
   for (const Candidate& candidate : aCandidates) {
     const auto wait = ExpectedWait(*candidate.mView, aRoute.mPriority, aNow);
     if (aNow < candidate.mView->mAvoidUntil) {
@@ -191,19 +209,34 @@
     if (!wait || *wait == Duration::zero()) {
       return false; // It may have a free slot.
     }
-    const Duration response = *wait + candidate.mView->mReplyTime;
-    if (response < shortest) {
-      best = &candidate;
-      shortest = response;
-    }
+    queues.push_back(candidate);
   }
-  if (!best) {
+  if (queues.empty()) {
     return false;
   }
+  const auto soonest = SoonestCandidate(queues, aRoute.mPriority, aNow);
+  const auto best =
+    soonest
+      ? queues.begin() + static_cast<std::ptrdiff_t>(*soonest)
+      : std::ranges::min_element(queues, {}, [&](const Candidate& aCandidate) {
+          const AgentView& view = *aCandidate.mView;
+          return *ExpectedWait(view, aRoute.mPriority, aNow) + view.mReplyTime;
+        });
   SendOffer(aTuple, aFlow, *best, TransitMark::OfferFinal, aNow);
   return true;
 }
 
+std::optional<size_t>
+FlowEntryCore::ChooseCandidate(const cluster::Route& aRoute,
+                               const std::string& aService,
+                               const std::vector<Candidate>& aCandidates,
+                               Instant aNow) const
+{
+  return IsScheduled(aService)
+           ? CandidateForFreeSlot(aCandidates, aRoute.mPriority, aNow)
+           : BestCandidate(aCandidates, aNow);
+}
+
 // A caller that is reset at once can still be served in time by its retry.
 bool
 FlowEntryCore::RetransmissionIsLate(const FlowTuple& aTuple,
@@ -233,6 +266,7 @@
   const Offer* leastWait = nullptr;
   Duration shortest = Duration::max();
   bool allReported = isScheduled;
+  std::vector<const Offer*> busy;
   for (const Offer& offer : aFlow.mOffers) {
     if (offer.mState != OfferState::Refused ||
         offer.mRefusal != Refusal::Busy ||
@@ -252,8 +286,34 @@
       leastWait = &offer;
       shortest = *wait;
     }
+    busy.push_back(&offer);
+  }
+  if (!allReported) {
+    return leastLoaded;
+  }
+  const Offer* soonest = SoonestOffer(busy, route->second.mPriority, aNow);
+  return soonest ? soonest : leastWait;
+}
+
+const FlowEntryCore::Offer*
+FlowEntryCore::SoonestOffer(const std::vector<const Offer*>& aOffers,
+                            uint32_t aPriority,
+                            Instant aNow) const
+{
+  std::vector<const Offer*> offers;
+  std::vector<Candidate> candidates;
+  for (const Offer* offer : aOffers) {
+    const auto record =
+      mReplica.Backends().find(cluster::RecordName(offer->mAgent));
+    const auto view = mViews.find(offer->mAgent);
+    if (record != mReplica.Backends().end() && view != mViews.end()) {
+      const bool isLocal = record->second.mDomain == mOptions.mDomain;
+      offers.push_back(offer);
+      candidates.push_back({ &record->second, &view->second, isLocal, 0 });
+    }
   }
-  return allReported ? leastWait : leastLoaded;
+  const auto soonest = SoonestCandidate(candidates, aPriority, aNow);
+  return soonest ? offers.at(*soonest) : nullptr;
 }
 
 } // namespace snipepost::flow
--- a/tests/Flow/FlowModel.cpp
+++ b/tests/Flow/FlowModel.cpp
@@ -127,6 +127,8 @@
   Instant mStart;
   uint32_t mAttempts = 0;
   bool mDone = false;
+  /// Requests of the flow with a response.
+  uint32_t mResponses = 0;
   /// Counted in mWaitingRequests.
   bool mWaiting = false;
 
@@ -260,6 +262,11 @@
 
   void Kill() { mAlive = false; }
   void Disarm() { mArmedFor.reset(); }
+  double Speed() const
+  {
+    const std::vector<double>& speeds = mModel.mOptions.mSpeeds;
+    return speeds.empty() ? 1.0 : speeds[mIndex % speeds.size()];
+  }
   /// Slots that are idle and may be given a request.
   uint32_t IdleSlots() const
   {
@@ -345,7 +352,10 @@
     });
   }
 
-  void SendToCore(const FlowTuple& aFlow, bool aSyn, uint16_t aLength)
+  void SendToCore(const FlowTuple& aFlow,
+                  bool aSyn,
+                  uint16_t aLength,
+                  bool aFin = false)
   {
     Packet packet;
     packet.mSource = aFlow.mService;
@@ -354,7 +364,7 @@
     packet.mAck = true;
     packet.mSequence = InitialSequence();
     packet.mLength = aLength;
-    packet.mFin = aLength > 0;
+    packet.mFin = aFin;
     PassToCore(packet);
   }
 
@@ -454,7 +464,8 @@
     } else if (mModel.HasRoutes() || mWaiting.size() < mModel.mOptions.mQueue) {
       mWaiting.push_back(aFlow);
     } else {
-      SendToCore(aFlow, false, 1); // The length of 1 marks a shed request.
+      SendToCore(
+        aFlow, false, 1, true); // The length of 1 marks a shed request.
     }
   }
 
@@ -466,12 +477,20 @@
       request->mRunning = true;
       mModel.SetWaiting(*request, false);
     }
-    const Duration work = mModel.mRandom.Jittered(
-      mModel.ServiceTimeOf(aFlow.mService), kServiceTimeSpread);
+    const auto mean = std::chrono::duration_cast<Duration>(
+      mModel.ServiceTimeOf(aFlow.mService) / Speed());
+    const Duration work = mModel.mRandom.Jittered(mean, kServiceTimeSpread);
+    if (LoadResult* result = mModel.CurrentResult()) {
+      result->mBusyTimes.at(mIndex) += work;
+    }
     mModel.ScheduleAt(mModel.mNow + work, [this, aFlow] {
       mModel.CountIdleTime();
       --mRunning;
-      SendToCore(aFlow, false, 2);
+      const bool last = mModel.EndsFlow(aFlow.mCaller);
+      if (!last) {
+        mServerFlows[aFlow] = false;
+      }
+      SendToCore(aFlow, false, 2, last);
       if (!mWaiting.empty()) {
         const FlowTuple next = mWaiting.front();
         mWaiting.pop_front();
@@ -567,7 +586,10 @@
 size_t
 FlowModel::EntryOf(const Address& aCaller) const
 {
-  return (aCaller.mIp + aCaller.mPort - kFirstPort) % mEntries.size();
+  const size_t own =
+    (aCaller.mIp + aCaller.mPort - kFirstPort) % mEntries.size();
+  return aCaller.mIp % 100 < mOptions.mMovedCallers ? own - own % kDomains
+                                                    : own;
 }
 
 ModelResult
@@ -743,6 +765,7 @@
 {
   SetEvacuated(aPhase.mEvacuated);
   mLoadResults[*mPhase].mRoutes.resize(mOptions.mRoutes.size());
+  mLoadResults[*mPhase].mBusyTimes.resize(mAgents.size());
   for (size_t route = 0; route < mOptions.mRoutes.size(); ++route) {
     const double perSecond = aPhase.mPerSecond.at(route);
     if (perSecond <= 0.0) {
@@ -848,6 +871,7 @@
   aRequest.mOpened = false;
   aRequest.mReceived = false;
   aRequest.mRunning = false;
+  aRequest.mResponses = 0;
   SendSyn(aRequest, 0);
   uint32_t retransmission = 0;
   for (const Duration& wait : kRetransmissionTimes) {
@@ -876,8 +900,12 @@
                              std::function<void(RouteRequest&)> aAction)
 {
   ScheduleAt(mNow + aDelay,
-             [this, caller = aRequest.mCaller, action = std::move(aAction)] {
-               if (RouteRequest* request = FindAttempt(caller)) {
+             [this,
+              caller = aRequest.mCaller,
+              responses = aRequest.mResponses,
+              action = std::move(aAction)] {
+               RouteRequest* request = FindAttempt(caller);
+               if (request && request->mResponses == responses) {
                  action(*request);
                }
              });
@@ -943,6 +971,41 @@
   const Duration latency = mNow - aRequest.mStart;
   const bool inTime = latency <= mOptions.mRoutes[aRequest.mRoute].mObjective;
   ++(inTime ? result.mInTime : result.mLate);
+  mLoadResults[aRequest.mPhase].mLatencies.push_back(latency);
+  ++aRequest.mResponses;
+  const ModelRoute& route = mOptions.mRoutes[aRequest.mRoute];
+  if (mPhase && aRequest.mResponses < route.mRequestsPerFlow) {
+    ScheduleAt(mNow + route.mPause,
+               [this, &aRequest] { SendNextRequest(aRequest); });
+  }
+}
+
+bool
+FlowModel::EndsFlow(const Address& aCaller)
+{
+  const RouteRequest* request = FindAttempt(aCaller);
+  return !request || request->mResponses + 1 >=
+                       mOptions.mRoutes[request->mRoute].mRequestsPerFlow;
+}
+
+void
+FlowModel::SendNextRequest(RouteRequest& aRequest)
+{
+  if (!mPhase) {
+    return;
+  }
+  aRequest.mPhase = *mPhase;
+  aRequest.mStart = mNow;
+  aRequest.mDone = false;
+  aRequest.mReceived = false;
+  aRequest.mRunning = false;
+  aRequest.mAttempts = 1;
+  ++ResultOf(aRequest).mRequestCount;
+  SendRequestData(aRequest);
+  ScheduleInAttempt(
+    aRequest,
+    mOptions.mRoutes[aRequest.mRoute].mTimeout,
+    [this](RouteRequest& aCurrent) { EndAttempt(aCurrent, false); });
 }
 
 void
--- a/tests/Flow/FlowModel.h
+++ b/tests/Flow/FlowModel.h
@@ -32,6 +32,10 @@
   /// Mean; service times are evenly distributed from half of it to one and a
   /// half times.
   Duration mServiceTime = std::chrono::milliseconds(25);
+  /// A caller sends the next request of a flow mPause after the response to the
+  /// previous one.
+  uint32_t mRequestsPerFlow = 1;
+  Duration mPause{};
 };
 
 /// Parameters of a FlowModel.
@@ -50,6 +54,12 @@
   /// When empty, the model has one route to kService with mServiceTime and
   /// mObjective, and its callers do not retry.
   std::vector<ModelRoute> mRoutes;
+  /// By backend server, repeated for further ones: the factor by which the
+  /// server is faster than the service times. All have 1 when empty.
+  std::vector<double> mSpeeds;
+  /// Percentage of the callers that use the entry instances of the first
+  /// failure domain instead of their own.
+  uint32_t mMovedCallers = 0;
 };
 
 /// Results as seen by the callers.
@@ -117,6 +127,10 @@
   /// at which it would have started without load until a server starts it, and
   /// after it failed until the end of its target latency.
   Duration mIdleTime{};
+  /// Times from the first attempt to the response.
+  std::vector<Duration> mLatencies;
+  /// By backend server, the sum of the service times that began in the phase.
+  std::vector<Duration> mBusyTimes;
 
   /// The sum over all routes.
   RouteResult Total() const;
@@ -187,6 +201,9 @@
   void DeliverToRouteCaller(const Packet& aPacket);
   void OnRouteSynAck(RouteRequest& aRequest, const Packet& aPacket);
   void OnRouteResponse(RouteRequest& aRequest);
+  /// True when the caller's flow has no further request, or was abandoned.
+  bool EndsFlow(const Address& aCaller);
+  void SendNextRequest(RouteRequest& aRequest);
   void EndAttempt(RouteRequest& aRequest, bool aReset);
   void FailRequest(RouteRequest& aRequest, bool aReset);
   /// The request whose current attempt is made from aCaller; null if none is.
