--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -119,7 +119,7 @@
   const bool offersLeft =
     made < aLimits.mAgents && aFlow.mOffers.size() < kMaxOffers;
   if (IsScheduled(aService)) {
-    RemoveRefusing(aFlow, aService, aRoute.mPriority, candidates, aNow);
+    RemoveRefusing(aFlow, aService, aRoute, candidates, aNow);
     if (offersLeft &&
         OfferForQueueing(aTuple, aFlow, aRoute, candidates, aNow)) {
       return true;
@@ -130,7 +130,9 @@
       OfferToBusyAgent(aTuple, aFlow, aService, aNow)) {
     return true;
   }
-  const auto best = offersLeft ? BestCandidate(candidates, aNow) : std::nullopt;
+  const auto best = offersLeft
+                      ? ChooseCandidate(aRoute, aService, candidates, aNow)
+                      : std::nullopt;
   if (!best) {
     return OfferToBusyAgent(aTuple, aFlow, aService, aNow);
   }
--- a/src/Flow/FlowScheduler.cpp
+++ b/src/Flow/FlowScheduler.cpp
@@ -237,8 +237,9 @@
     const FlowQueue::Order order{ level.mPriority,
                                   aNow + level.mObjective,
                                   mCapacity.MeanServiceTime() };
-    waits.push_back({ static_cast<uint8_t>(std::min(level.mPriority, 255U)),
-                      WaitAhead(order, aLoad, aNow) });
+    const auto priority = static_cast<uint8_t>(
+      std::min<uint32_t>(level.mPriority, OfferReply::kMaxPriority));
+    waits.push_back({ priority, WaitAhead(order, aLoad, aNow) });
   }
   return waits;
 }
--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -222,13 +222,12 @@
   boost::json::object values = {
     { "slots", status.HasHeartbeat() ? status.Slots() : 0 },
     { "load", mCore.Load() },
-    { "waiting", mCore.WaitingFlows() },
+    { "waiting", mCore.WaitingFlows() + mCore.WaitingRequests() },
     { "queueLimit", capacity.QueueLimit(mNode.Now()) },
   };
-  if (capacity.HasServiceTime()) {
+  if (const auto time = capacity.MeasuredServiceTime()) {
     values["serviceMs"] =
-      std::chrono::duration<double, std::milli>(capacity.MeanServiceTime())
-        .count();
+      std::chrono::duration<double, std::milli>(*time).count();
   }
   aStatus["service"] = mNode.Settings().mService;
   aStatus["capacity"] = std::move(values);
--- a/tests/Flow/FlowModel.cpp
+++ b/tests/Flow/FlowModel.cpp
@@ -131,6 +131,8 @@
   Instant mStart;
   uint32_t mAttempts = 0;
   bool mDone = false;
+  /// Requests of the flow with a response.
+  uint32_t mResponses = 0;
   /// Counted in mWaitingRequests.
   bool mWaiting = false;
 
@@ -275,6 +277,11 @@
 
   void Kill() { mAlive = false; }
   void Disarm() { mArmedFor.reset(); }
+  double Speed() const
+  {
+    const std::vector<double>& speeds = mModel.mOptions.mSpeeds;
+    return speeds.empty() ? 1.0 : speeds[mIndex % speeds.size()];
+  }
   /// Slots that are idle and may be given a request.
   uint32_t IdleSlots() const
   {
@@ -360,7 +367,10 @@
     });
   }
 
-  void SendToCore(const FlowTuple& aFlow, bool aSyn, uint16_t aLength)
+  void SendToCore(const FlowTuple& aFlow,
+                  bool aSyn,
+                  uint16_t aLength,
+                  bool aFin = false)
   {
     Packet packet;
     packet.mSource = aFlow.mService;
@@ -369,7 +379,7 @@
     packet.mAck = true;
     packet.mSequence = InitialSequence();
     packet.mLength = aLength;
-    packet.mFin = aLength > 0 && !mModel.KeepsFlows(aFlow.mService);
+    packet.mFin = aFin;
     PassToCore(packet);
   }
 
@@ -478,7 +488,8 @@
     } else if (mModel.HasRoutes() || mWaiting.size() < mModel.mOptions.mQueue) {
       mWaiting.push_back(aFlow);
     } else {
-      SendToCore(aFlow, false, 1); // The length of 1 marks a shed request.
+      SendToCore(
+        aFlow, false, 1, true); // The length of 1 marks a shed request.
     }
   }
 
@@ -490,8 +501,12 @@
       request->mRunning = true;
       mModel.SetWaiting(*request, false);
     }
-    const Duration work = mModel.mRandom.Jittered(
-      mModel.ServiceTimeOf(aFlow.mService), kServiceTimeSpread);
+    const auto mean = std::chrono::duration_cast<Duration>(
+      mModel.ServiceTimeOf(aFlow.mService) / Speed());
+    const Duration work = mModel.mRandom.Jittered(mean, kServiceTimeSpread);
+    if (LoadResult* result = mModel.CurrentResult()) {
+      result->mBusyTimes.at(mIndex) += work;
+    }
     mModel.ScheduleAt(mModel.mNow + work, [this, aFlow] {
       mModel.CountIdleTime();
       --mRunning;
@@ -501,7 +516,7 @@
         Start(next);
       }
       // May add a request, which must not take the slot of a waiting one.
-      SendToCore(aFlow, false, 2);
+      SendToCore(aFlow, false, 2, mModel.EndsFlow(aFlow));
     });
   }
 
@@ -603,7 +618,10 @@
 size_t
 FlowModel::EntryOf(const Address& aCaller) const
 {
-  return (aCaller.mIp + aCaller.mPort - kFirstPort) % mEntries.size();
+  const size_t own =
+    (aCaller.mIp + aCaller.mPort - kFirstPort) % mEntries.size();
+  return aCaller.mIp % 100 < mOptions.mMovedCallers ? own - own % kDomains
+                                                    : own;
 }
 
 ModelResult
@@ -795,6 +813,7 @@
 {
   SetEvacuated(aPhase.mEvacuated);
   mLoadResults[*mPhase].mRoutes.resize(mOptions.mRoutes.size());
+  mLoadResults[*mPhase].mBusyTimes.resize(mAgents.size());
   for (size_t route = 0; route < mOptions.mRoutes.size(); ++route) {
     const double perSecond = aPhase.mPerSecond.at(route);
     if (perSecond <= 0.0) {
@@ -886,8 +905,15 @@
     StartAttempt(AddRequest(aRoute, mNextCaller++));
     return;
   }
-  RouteRequest& request = AddRequest(aRoute, idle.front().mIp);
+  const uint32_t ip = idle.front().mIp;
   idle.pop_front();
+  ContinueFlow(aRoute, ip);
+}
+
+void
+FlowModel::ContinueFlow(size_t aRoute, uint32_t aIp)
+{
+  RouteRequest& request = AddRequest(aRoute, aIp);
   ++request.mAttempts;
   request.mAttempt = ++mAttemptCount;
   request.mSent += kRequestLength;
@@ -938,6 +964,7 @@
   aRequest.mOpened = false;
   aRequest.mReceived = false;
   aRequest.mRunning = false;
+  aRequest.mResponses = 0;
   SendSyn(aRequest, 0);
   uint32_t retransmission = 0;
   for (const Duration& wait : kRetransmissionTimes) {
@@ -1061,6 +1088,27 @@
   if (mOptions.mRoutes[aRequest.mRoute].mKeptFlows > 0) {
     mIdleFlows[aRequest.mRoute].push_back(aRequest.mCaller);
   }
+  mLoadResults[aRequest.mPhase].mLatencies.push_back(latency);
+  ++aRequest.mResponses;
+  const ModelRoute& route = mOptions.mRoutes[aRequest.mRoute];
+  if (aRequest.mResponses < route.mRequestsPerFlow) {
+    ScheduleAt(mNow + route.mPause,
+               [this, index = aRequest.mRoute, ip = aRequest.mCaller.mIp] {
+                 if (mPhase) {
+                   ContinueFlow(index, ip);
+                 }
+               });
+  }
+}
+
+bool
+FlowModel::EndsFlow(const FlowTuple& aFlow) const
+{
+  const auto found = mRouteRequests.find(aFlow.mCaller.mIp);
+  return !KeepsFlows(aFlow.mService) &&
+         (found == mRouteRequests.end() ||
+          found->second.mResponses + 1 >=
+            mOptions.mRoutes[found->second.mRoute].mRequestsPerFlow);
 }
 
 void
--- a/tests/Flow/FlowModel.h
+++ b/tests/Flow/FlowModel.h
@@ -37,6 +37,10 @@
   /// finds none opens a flow, which is kept, too. 0: each request opens a flow,
   /// which is closed after the response.
   size_t mKeptFlows = 0;
+  /// A caller sends the next request of a flow mPause after the response to the
+  /// previous one.
+  uint32_t mRequestsPerFlow = 1;
+  Duration mPause{};
 };
 
 /// Parameters of a FlowModel.
@@ -60,6 +64,12 @@
   size_t mSplitServers = 0;
   /// EntryOptions::mOverflowBetweenServices.
   bool mOverflow = true;
+  /// By backend server, repeated for further ones: the factor by which the
+  /// server is faster than the service times. All have 1 when empty.
+  std::vector<double> mSpeeds;
+  /// Percentage of the callers that use the entry instances of the first
+  /// failure domain instead of their own.
+  uint32_t mMovedCallers = 0;
 };
 
 /// Results as seen by the callers.
@@ -140,6 +150,10 @@
   /// at which it would have started without load until a server starts it, and
   /// after it failed until the end of its target latency.
   Duration mIdleTime{};
+  /// Times from the first attempt to the response.
+  std::vector<Duration> mLatencies;
+  /// By backend server, the sum of the service times that began in the phase.
+  std::vector<Duration> mBusyTimes;
 
   /// The sum over all routes.
   RouteResult Total() const;
@@ -201,6 +215,8 @@
   /// Adds the decisions since the last call to the phase's result.
   void CountDecisions();
   void OpenRouteRequest(size_t aRoute);
+  /// Sends the next request on the open flow of a caller.
+  void ContinueFlow(size_t aRoute, uint32_t aIp);
   /// Adds a request of the caller with the address aIp, whose earlier requests
   /// have ended.
   RouteRequest& AddRequest(size_t aRoute, uint32_t aIp);
@@ -219,6 +235,8 @@
   void DeliverToRouteCaller(const Packet& aPacket);
   void OnRouteSynAck(RouteRequest& aRequest, const Packet& aPacket);
   void OnRouteResponse(RouteRequest& aRequest);
+  /// True when the caller sends no further request on the flow.
+  bool EndsFlow(const FlowTuple& aFlow) const;
   void EndAttempt(RouteRequest& aRequest, bool aReset);
   void FailRequest(RouteRequest& aRequest, bool aReset);
   /// The request whose current attempt is made from aCaller; null if none is.
