Flow: an entry instance of an evacuated domain has as many candidates as others

Flows were offered to at most four local candidates and four of all other failure domains. While the domain of an entry instance is evacuated, it had four to choose from and the others eight, and its callers were refused more often. The limit is now eight in total, at most four of them local. The test fails before (4 instead of 8 candidates).

--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-/// Limit of the candidates for one flow in the local failure domain, and of
-/// those in all others together.
-constexpr size_t kCandidateLimit = 4;
+/// Limits of the candidates for one flow in the local failure domain, and in
+/// all of them. An instance whose domain has no candidates, for example because
+/// it is evacuated, has as many to choose from as others.
+constexpr size_t kLocalCandidateLimit = 4;
+constexpr size_t kCandidateLimit = 8;
 
 /// Number of offers that are accepted only with a free slot. A further one
 /// would delay the flow by a round trip to yet another failure domain. It would
@@ -49,20 +51,18 @@
     return {};
   }
   std::vector<Candidate> eligible;
-  size_t local = 0;
-  size_t remote = 0;
   for (Candidate& candidate :
        table->second.Candidates(FlowHash(aTuple), mOptions.mDomain)) {
     const cluster::BackendRecord& server = *candidate.mRecord;
     const auto offered =
       std::ranges::find(aFlow.mOffers, server.mAgent, &Offer::mAgent);
-    size_t& count = candidate.mLocal ? local : remote;
-    if (count == kCandidateLimit ||
+    const size_t limit =
+      candidate.mLocal ? kLocalCandidateLimit : kCandidateLimit;
+    if (eligible.size() == limit ||
         server.mState != cluster::BackendState::Ready ||
         mReplica.Evacuated(server.mDomain) || offered != aFlow.mOffers.end()) {
       continue;
     }
-    ++count;
     candidate.mView = &mViews[server.mAgent];
     eligible.push_back(candidate);
   }
--- a/tests/Flow/FlowEntryCoreTest.cpp
+++ b/tests/Flow/FlowEntryCoreTest.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <boost/test/unit_test.hpp>
 
 #include <snipepost/Flow/FlowEntryCore.h>
@@ -600,6 +602,27 @@
   BOOST_TEST(mResets == 0U);
 }
 
+// Guards against callers that are refused more often because the failure domain
+// of their entry instance is evacuated: it must choose from as many servers as
+// others, although none is local.
+BOOST_AUTO_TEST_CASE(EvacuatedDomainHasAsManyCandidates)
+{
+  for (const char* domain : { "a", "b" }) {
+    Fixture test(24);
+    test.mReplica.ApplyChanges(
+      Part::Evacuations, { { domain, Revision(2), "{}" } }, Revision(2));
+    // Each offer raises the load estimate of its agent, so that another one is
+    // next.
+    std::set<Address> agents;
+    for (uint32_t sequence = 0; sequence < 100; ++sequence) {
+      test.mCore->OnCallerPacket(
+        SynPacket(kCaller, sequence), test.mBytes, test.mNow);
+      agents.insert(test.mSent.back().mAgent);
+    }
+    BOOST_TEST(agents.size() == 8U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(EvacuatedServersGetNoOffer)
 {
   mReplica.ApplyChanges(
