Tests: the flow model in four files, packet copies and timers shared

The instances (FlowModelNodes.h), their timer (FlowModelTimer.h) and the requests of several routes (FlowModelRoutes.cpp) are separate, and the packet copies that OwnerLookupModel had as well are in PacketCopy.h.

--- a/tests/Flow/FlowModel.h
+++ b/tests/Flow/FlowModel.h
@@ -193,6 +193,8 @@
 
 private:
   class Entry;
+  template<typename Core>
+  class Timer;
   class Agent;
   struct Request;
   struct RouteRequest;
--- a/tests/Flow/OwnerLookupModel.cpp
+++ b/tests/Flow/OwnerLookupModel.cpp
@@ -1,10 +1,10 @@
 #include "tests/Flow/OwnerLookupModel.h"
 
 #include <algorithm>
-#include <cstring>
 #include <set>
 #include <sstream>
-#include <type_traits>
+
+#include "tests/Flow/PacketCopy.h"
 
 namespace snipepost::flow {
 
@@ -39,25 +39,6 @@
                                                              800ms,
                                                              1600ms };
 
-// A packet is encoded as a copy of the struct.
-static_assert(std::is_trivially_copyable_v<Packet>);
-
-std::vector<uint8_t>
-Encode(const Packet& aPacket)
-{
-  std::vector<uint8_t> bytes(sizeof aPacket);
-  std::memcpy(bytes.data(), &aPacket, sizeof aPacket);
-  return bytes;
-}
-
-Packet
-Decode(std::span<const uint8_t> aBytes)
-{
-  Packet packet;
-  std::memcpy(&packet, aBytes.data(), sizeof packet);
-  return packet;
-}
-
 /// Name of a flow in the trace.
 std::string
 Tag(const FlowTuple& aFlow)
