--- a/src/Flow/FlowEntryCoreLookup.cpp
+++ b/src/Flow/FlowEntryCoreLookup.cpp
@@ -10,21 +10,6 @@
 
 namespace {
 
-/// A flow with at most this many possible owners is looked up at all of them at
-/// once; otherwise the first attempt asks only the best ranked ones, since most
-/// owners are among them.
-constexpr size_t kFirstLookupLimit = 12;
-/// Servers of the local failure domain, and of all others together, that such a
-/// first attempt asks.
-constexpr size_t kNarrowLookupLimit = 4;
-
-/// Attempts after which servers outside the candidates are asked, too: an entry
-/// instance of the previous version may have offered the flow to them.
-constexpr uint32_t kCandidateLookups = 2;
-
-/// Limit of the agents that one attempt asks.
-constexpr size_t kMaxLookupTargets = 128;
-
 /// Time for the replies to an attempt; the round trip to another failure domain
 /// takes about 8 ms.
 constexpr Duration kLookupReplyTime = std::chrono::milliseconds(40);
@@ -36,39 +21,11 @@
 /// some 100 ms after the start.
 constexpr Duration kIncompleteStateInterval = std::chrono::milliseconds(50);
 
-/// Number and time of unanswered messages after which an agent whose record is
-/// missing is considered ended. Without this, lookups for the flows of a server
-/// that has ended would wait for its agent.
-constexpr uint32_t kMissingUnanswered = 6;
-constexpr Duration kMissingSilence = std::chrono::seconds(2);
-
 /// Largest distance of a caller's acknowledgement from the backend server's
 /// initial sequence number, for the first packets of a flow. Also the largest
 /// difference between the acknowledgements of successive packets of a flow.
 constexpr uint32_t kAckWindow = 1U << 20;
 
-bool
-Contains(const std::vector<cluster::NodeIp>& aNodes, cluster::NodeIp aNode)
-{
-  return std::ranges::find(aNodes, aNode) != aNodes.end();
-}
-
-cluster::NodeIp
-AgentIp(const cluster::BackendRecord* aRecord)
-{
-  return cluster::NodeIp(aRecord->mAgent.mIp);
-}
-
-/// True when the route sends new flows to the service.
-bool
-Serves(const cluster::Route& aRoute, const std::string& aService)
-{
-  return std::ranges::any_of(
-    aRoute.mServices, [&aService](const cluster::WeightedService& aShare) {
-      return aShare.mService == aService;
-    });
-}
-
 /// True when the packets belong to different flows with the same addresses.
 bool
 BelongToDifferentFlows(const Packet& aEarlier, const Packet& aLater)
@@ -135,7 +92,7 @@
   OwnerLookup& lookup = found->second.mLookup;
   // With older records the latest attempt may not have asked the owner, even if
   // this instance has received newer ones since.
-  if (!Contains(lookup.mPending, aFrom) ||
+  if (std::ranges::find(lookup.mPending, aFrom) == lookup.mPending.end() ||
       cluster::HasNewerContent(aExclusion.mRecords, lookup.mRecords)) {
     return;
   }
@@ -239,119 +196,6 @@
   return removed == mRemovedRoutes.end() ? nullptr : &removed->second;
 }
 
-FlowEntryCore::Servers
-FlowEntryCore::PossibleOwners(const FlowTuple& aTuple,
-                              const cluster::Route& aRoute,
-                              bool aOfEveryService,
-                              Instant aNow) const
-{
-  const uint64_t hash = FlowHash(aTuple);
-  Servers owners;
-  for (const auto& [service, table] : mTables) {
-    if (Serves(aRoute, service)) {
-      table.AppendPossibleOwners(hash, aNow, mOptions.mFlowLimit, owners);
-    }
-  }
-  if (!aOfEveryService) {
-    return owners;
-  }
-  for (const auto& [service, table] : mTables) {
-    if (!Serves(aRoute, service)) {
-      table.AppendPossibleOwners(hash, aNow, mOptions.mFlowLimit, owners);
-    }
-  }
-  return owners;
-}
-
-FlowEntryCore::Servers
-FlowEntryCore::BestRankedOwners(const FlowTuple& aTuple,
-                                const cluster::Route& aRoute) const
-{
-  Servers best;
-  for (const cluster::WeightedService& share : aRoute.mServices) {
-    const auto table = mTables.find(share.mService);
-    if (table == mTables.end()) {
-      continue;
-    }
-    size_t local = 0;
-    size_t remote = 0;
-    for (const Candidate& candidate :
-         table->second.Candidates(FlowHash(aTuple), mOptions.mDomain)) {
-      size_t& count = candidate.mLocal ? local : remote;
-      if (count++ < kNarrowLookupLimit) {
-        best.push_back(candidate.mRecord);
-      }
-    }
-  }
-  return best;
-}
-
-bool
-FlowEntryCore::HasProbablyEnded(const cluster::BackendRecord& aRecord,
-                                Instant aNow) const
-{
-  const auto view = mViews.find(aRecord.mAgent);
-  return view != mViews.end() &&
-         view->second.mUnansweredOffers >= kMissingUnanswered &&
-         aNow - view->second.mUnansweredSince > kMissingSilence &&
-         mRecords.IsMissing(cluster::RecordName(aRecord.mAgent));
-}
-
-FlowEntryCore::Servers
-FlowEntryCore::LookupTargets(const FlowTuple& aTuple,
-                             const cluster::Route& aRoute,
-                             OwnerLookup& aLookup,
-                             Instant aNow) const
-{
-  // A flow stays where it was opened when a later configuration sends the
-  // route's new flows to other services, so any service may have it. This
-  // instance may not have seen the earlier configuration.
-  const bool ofEveryService = aLookup.mAttempts > 1;
-  Servers owners = PossibleOwners(aTuple, aRoute, ofEveryService, aNow);
-  const auto isExcluded = [&](const cluster::BackendRecord* aRecord) {
-    return Contains(aLookup.mExcluded, AgentIp(aRecord)) ||
-           HasProbablyEnded(*aRecord, aNow);
-  };
-  std::erase_if(owners, isExcluded);
-  aLookup.mRecords = mReplica.Version(cluster::Part::Backends);
-  aLookup.mPending.clear();
-  std::ranges::transform(
-    owners, std::back_inserter(aLookup.mPending), &AgentIp);
-  const bool asksEveryService =
-    ofEveryService || std::ranges::all_of(mTables, [&](const auto& aTable) {
-      return Serves(aRoute, aTable.first);
-    });
-  aLookup.mConclusive = asksEveryService && owners.size() <= kMaxLookupTargets;
-  if (aLookup.mAttempts == 1 && owners.size() > kFirstLookupLimit) {
-    return BestRankedOwners(aTuple, aRoute);
-  }
-  if (aLookup.mAttempts > kCandidateLookups) {
-    AppendOtherServers(aTuple, aRoute, owners);
-    std::erase_if(owners, isExcluded);
-  }
-  owners.resize(std::min(owners.size(), kMaxLookupTargets));
-  return owners;
-}
-
-void
-FlowEntryCore::AppendOtherServers(const FlowTuple& aTuple,
-                                  const cluster::Route& aRoute,
-                                  Servers& aServers) const
-{
-  Servers all;
-  for (const cluster::WeightedService& share : aRoute.mServices) {
-    const auto table = mTables.find(share.mService);
-    if (table != mTables.end()) {
-      table->second.AppendAll(FlowHash(aTuple), all);
-    }
-  }
-  for (const cluster::BackendRecord* server : all) {
-    if (std::ranges::find(aServers, server) == aServers.end()) {
-      aServers.push_back(server);
-    }
-  }
-}
-
 void
 FlowEntryCore::LookUpOwner(const FlowTuple& aTuple,
                            EntryFlow& aFlow,
