Flow: the current record of an agent's address is preferred

Cause: FindAgent() returned the first record with the IP address of an owner notice. When an agent was replaced by one with another port, that was the missing record, so the flow's packets went to a port on which nobody listens.

Change: a current record is preferred; a missing one is used only when there is no other.

Result: CurrentRecordOfAnAddressIsPreferred fails before and passes.

--- a/include/snipepost/Flow/RecordHistory.h
+++ b/include/snipepost/Flow/RecordHistory.h
@@ -43,7 +43,8 @@
   const KnownRecords& Records() const { return mRecords; }
   /// True when the record is missing, and was known before.
   bool IsMissing(const std::string& aName) const;
-  /// The agent's current or missing record; null if there is none.
+  /// The agent's current record, otherwise a missing one; null if there is
+  /// none.
   const cluster::BackendRecord* FindAgent(cluster::NodeIp aAgent) const;
 
 private:
--- a/src/Flow/RecordHistory.cpp
+++ b/src/Flow/RecordHistory.cpp
@@ -72,11 +72,17 @@
 const cluster::BackendRecord*
 RecordHistory::FindAgent(cluster::NodeIp aAgent) const
 {
-  const auto found =
-    std::ranges::find_if(mRecords, [aAgent](const auto& aItem) {
-      return aItem.second.mRecord.mAgent.mIp == aAgent.Value();
-    });
-  return found == mRecords.end() ? nullptr : &found->second.mRecord;
+  const cluster::BackendRecord* missing = nullptr;
+  for (const auto& [name, known] : mRecords) {
+    if (known.mRecord.mAgent.mIp != aAgent.Value()) {
+      continue;
+    }
+    if (!known.mMissingSince) {
+      return &known.mRecord;
+    }
+    missing = &known.mRecord;
+  }
+  return missing;
 }
 
 } // namespace snipepost::flow
--- a/tests/Flow/RecordHistoryTest.cpp
+++ b/tests/Flow/RecordHistoryTest.cpp
@@ -81,4 +81,25 @@
   BOOST_TEST((known.mKnownSince == kNow + 2s));
 }
 
+// Guards against packets to the port of an agent that has ended: a new one on
+// the same machine may use another port.
+BOOST_AUTO_TEST_CASE(CurrentRecordOfAnAddressIsPreferred)
+{
+  History test;
+  test.mHistory.Update(test.mReplica, kNow);
+  cluster::BackendRecord record = test.mReplica.Backends().at(test.mName);
+  test.Change(2, std::nullopt);
+  ++record.mAgent.mPort;
+  test.mReplica.ApplyChanges(Part::Backends,
+                             { { cluster::RecordName(record.mAgent),
+                                 Revision(3),
+                                 cluster::EncodeRecord(record),
+                                 Revision(3) } },
+                             Revision(3));
+  test.mHistory.Update(test.mReplica, kNow);
+  const cluster::NodeIp agent(record.mAgent.mIp);
+  BOOST_REQUIRE(test.mHistory.FindAgent(agent));
+  BOOST_TEST((test.mHistory.FindAgent(agent)->mAgent == record.mAgent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
