Flow: offers that no other service can get go to the chosen service

Cause: two of the five offers of a flow are kept for the route's other services. When these had only one server, the fifth offer was never made, and the flow was refused although a further agent of the chosen service could have had room.

Change: when no further agent of another service can be asked, the remaining offers are made to the chosen service, also after an overflow.

The sample of the overflow tests gives both services two priorities.

--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -96,8 +96,9 @@
     if (OfferToOtherServices(aTuple, aFlow, route->second, aNow)) {
       return;
     }
-    // No agent of another service could be asked.
-    if (!aFlow.mOverflowed && offerToChosen(kMaxOffers)) {
+    // No further agent of another service can be asked: the offers that were
+    // kept for them are made to the chosen service.
+    if (offerToChosen(kMaxOffers)) {
       return;
     }
   }
--- a/tests/Flow/FlowEntryCoreOverflowTest.cpp
+++ b/tests/Flow/FlowEntryCoreOverflowTest.cpp
@@ -21,7 +21,7 @@
 constexpr Address kSplitCaller{ 0x64400007, 40003 };
 
 /// The sample configuration; with a text other than a version, the split in
-/// which another route with a more urgent priority uses the service library.
+/// which another route with a more urgent priority uses both services.
 std::optional<cluster::RouteConfig>
 DecodeSplit(std::string_view aText)
 {
@@ -32,7 +32,7 @@
   config->mVersion = cluster::ConfigVersion(kSplitVersion + 1);
   cluster::Route urgent = config->mRoutes.at(kService);
   urgent.mAddress.mPort += 1;
-  urgent.mServices = { { "library", 1 } };
+  urgent.mServices = { { "library", 1 }, { "desk", 1 } };
   config->mRoutes.at(kService).mPriority = 1;
   config->mRoutes[urgent.mAddress] = urgent;
   return config;
@@ -85,11 +85,27 @@
       reply.mFlow = { kSplitCaller, kService };
       reply.mCallerSequence = mSequence;
       reply.mRefusal = IsSplit(agent) ? aLibrary : aDesk;
+      if (next + 1 == mAcceptedOffer) {
+        reply.mRefusal = Refusal::None;
+      }
       reply.mBackendSequence = 5000;
       mCore->OnOfferReply(cluster::NodeIp(agent.mIp), reply, mNow);
     }
   }
 
+  /// Removes all servers of the service desk but one.
+  void LeaveOneDesk()
+  {
+    std::vector<cluster::ObjectChange> changes;
+    for (size_t i = 1; i < kServers - kSplitServers; ++i) {
+      changes.push_back({ cluster::RecordName(AgentAddress(i)),
+                          Revision(2),
+                          std::nullopt,
+                          Revision(2) });
+    }
+    mReplica.ApplyChanges(Part::Backends, changes, Revision(2));
+  }
+
   ptrdiff_t SentToDesk() const
   {
     return std::ranges::count_if(
@@ -100,6 +116,8 @@
   cluster::Replica mReplica{ &DecodeSplit };
   FakeDecisions mDecisions;
   std::vector<Address> mSent;
+  /// Number of the offer that is accepted in any case, from 1; 0 for none.
+  size_t mAcceptedOffer = 0;
   size_t mResets = 0;
   uint32_t mSequence = 100;
   Instant mNow{ 10s };
@@ -189,4 +207,14 @@
   BOOST_TEST(mSent.size() < 2U * kFlows);
 }
 
+// Guards against flows that are refused with an offer left, because the other
+// service has fewer servers than offers are kept for it.
+BOOST_AUTO_TEST_CASE(OffersThatOthersCanNotGetGoToTheChosenService)
+{
+  LeaveOneDesk();
+  Place(Refusal::Full, Refusal::Full);
+  BOOST_TEST(mSent.size() == FlowEntryCore::kMaxOffers);
+  BOOST_TEST(SentToDesk() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
