Flow: throttles count a flow once also when several services were asked

Cause: a flow remembered only the last service that had counted it. When the chosen service was asked again after another one, it was counted as decided twice, so the throttle saw more refusals than there were.

Change: one bit for each service of the route instead of the last tag. CountRefusals() counts all services of which an agent was full, and no longer depends on the order of the offers; WasFull() is not needed any more.

Result: ThrottleCountsAFlowOnce (two of three flows accepted) throttles a flow when the previous service is forgotten, and none now.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -166,10 +166,10 @@
     /// The SYN was rejected here. The flow may be open all the same: another
     /// entry instance may have placed an earlier copy of the SYN.
     bool mRejected = false;
-    /// Counted by the throttle of the service with mCountedTag, the last one
-    /// that was counted.
-    bool mCountedDecided = false;
-    bool mCountedAccepted = false;
+    /// The services whose throttles have counted the flow, and those that have
+    /// counted it as accepted: ServiceBit() of each.
+    uint32_t mCountedDecided = 0;
+    uint32_t mCountedAccepted = 0;
     /// The throttle of the service that the weights choose refused the current
     /// SYN, which is offered only to other services of the route.
     bool mThrottled = false;
@@ -177,7 +177,6 @@
     bool mOthersUnavailable = false;
     /// The current SYN was offered to another service than the weights choose.
     bool mOverflowed = false;
-    uint32_t mCountedTag = 0;
     /// Every possible owner has excluded itself.
     bool mOwnerEnded = false;
     bool mClosing = false;
@@ -240,10 +239,11 @@
   static bool IsOfferTo(const EntryFlow& aFlow,
                         const Offer& aOffer,
                         const std::string& aService);
-  /// Name of the service with the tag that the route's flow was offered to;
-  /// null when the route no longer has it.
-  static const std::string* ServiceWithTag(const cluster::Route& aRoute,
-                                           uint32_t aServiceTag);
+  /// The service with the tag that the route's flow was offered to; null when
+  /// the route no longer has it.
+  static const cluster::WeightedService* ServiceWithTag(
+    const cluster::Route& aRoute,
+    uint32_t aServiceTag);
   /// Name of the service of an agent that the flow was passed on to; empty for
   /// others.
   std::string_view OverflowService(const FlowTuple& aTuple,
@@ -392,9 +392,8 @@
                  Instant aNow);
   /// Handles an offer whose reply did not arrive in time.
   void OnReplyTimeout(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
-  /// Counts the flow as refused by the service that was asked last if an agent
-  /// of it was full.
-  void CountRefusal(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
+  /// Counts the flow as refused by the services of which an agent was full.
+  void CountRefusals(const FlowTuple& aTuple, EntryFlow& aFlow, Instant aNow);
   /// True when the throttle of the service refuses the first SYN of a flow.
   bool IsThrottled(const FlowTuple& aTuple,
                    const EntryFlow& aFlow,
--- a/include/snipepost/Flow/Offer.h
+++ b/include/snipepost/Flow/Offer.h
@@ -59,10 +59,6 @@
 size_t
 OffersTo(const std::vector<Offer>& aOffers, uint32_t aServiceTag);
 
-/// True when an agent of the service with the tag was full.
-bool
-WasFull(const std::vector<Offer>& aOffers, uint32_t aServiceTag);
-
 /// The services of the route with a weight above 0 other than aChosen, those
 /// with the highest weight first.
 std::vector<const cluster::WeightedService*>
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -225,7 +225,7 @@
     std::ranges::any_of(aFlow.mOffers, [](const Offer& aOffer) {
       return aOffer.mRefusal == Refusal::Full;
     });
-  CountRefusal(aTuple, aFlow, aNow);
+  CountRefusals(aTuple, aFlow, aNow);
   // A flow that several services refused is reset at once, so that its caller's
   // retry can still be served in time.
   if (overloaded && ExpectsRetransmission(aTuple, aFlow, aNow) &&
--- a/src/Flow/FlowEntryCoreOverflow.cpp
+++ b/src/Flow/FlowEntryCoreOverflow.cpp
@@ -36,16 +36,16 @@
   return !aFlow.mOverflowed || aOffer.mServiceTag == ServiceTag(aService);
 }
 
-const std::string*
+const cluster::WeightedService*
 FlowEntryCore::ServiceWithTag(const cluster::Route& aRoute,
                               uint32_t aServiceTag)
 {
   if (aRoute.mServices.size() == 1) {
-    return &aRoute.mServices.front().mService;
+    return &aRoute.mServices.front();
   }
   for (const cluster::WeightedService& share : aRoute.mServices) {
     if (ServiceTag(share.mService) == aServiceTag) {
-      return &share.mService;
+      return &share;
     }
   }
   return nullptr;
@@ -61,6 +61,7 @@
   if (aFlow.mOthersUnavailable || (begins && !LacksCapacity(aFlow.mOffers))) {
     return false;
   }
+  CountRefusals(aTuple, aFlow, aNow);
   const bool hadOverflowed = std::exchange(aFlow.mOverflowed, true);
   const std::string& chosen = ServiceOf(aRoute, aTuple);
   const size_t passedOn =
@@ -71,9 +72,6 @@
   for (const cluster::WeightedService* other : OtherServices(aRoute, chosen)) {
     const std::string& service = other->mService;
     const size_t made = OffersTo(aFlow.mOffers, ServiceTag(service));
-    if (made == 0) {
-      CountRefusal(aTuple, aFlow, aNow);
-    }
     const bool isThrottled =
       made == 0 && IsThrottled(aTuple, aFlow, service, aRoute.mPriority, aNow);
     const OfferLimits limits{ made + left, kFreeSlotOverflowOffers };
@@ -110,10 +108,9 @@
   if (route == mRoutes->mRoutes.end() || offer == aFlow.mOffers.end()) {
     return {};
   }
-  const std::string* service =
-    ServiceWithTag(route->second, offer->mServiceTag);
-  return service && *service != ServiceOf(route->second, aTuple)
-           ? std::string_view(*service)
+  const auto* service = ServiceWithTag(route->second, offer->mServiceTag);
+  return service && service->mService != ServiceOf(route->second, aTuple)
+           ? std::string_view(service->mService)
            : std::string_view();
 }
 
--- a/src/Flow/FlowEntryCoreScheduling.cpp
+++ b/src/Flow/FlowEntryCoreScheduling.cpp
@@ -38,6 +38,17 @@
   return *wait + *service >= *otherWait + *otherService;
 }
 
+/// The bit of one of the route's services, by its position; those beyond the
+/// bits share the last one.
+uint32_t
+ServiceBit(const cluster::Route& aRoute,
+           const cluster::WeightedService& aService)
+{
+  constexpr ptrdiff_t kLastBit = 31;
+  const ptrdiff_t position = &aService - aRoute.mServices.data();
+  return 1U << std::min(position, kLastBit);
+}
+
 } // namespace
 
 void
@@ -107,14 +118,14 @@
 }
 
 void
-FlowEntryCore::CountRefusal(const FlowTuple& aTuple,
-                            EntryFlow& aFlow,
-                            Instant aNow)
+FlowEntryCore::CountRefusals(const FlowTuple& aTuple,
+                             EntryFlow& aFlow,
+                             Instant aNow)
 {
-  const uint32_t tag =
-    aFlow.mOffers.empty() ? 0 : aFlow.mOffers.back().mServiceTag;
-  if (WasFull(aFlow.mOffers, tag)) {
-    CountOutcome(aTuple, aFlow, tag, false, aNow);
+  for (const Offer& offer : aFlow.mOffers) {
+    if (offer.mRefusal == Refusal::Full) {
+      CountOutcome(aTuple, aFlow, offer.mServiceTag, false, aNow);
+    }
   }
 }
 
@@ -129,23 +140,20 @@
   if (mThrottles.empty() || route == mRoutes->mRoutes.end()) {
     return;
   }
-  const std::string* service = ServiceWithTag(route->second, aServiceTag);
-  const auto throttle = service ? mThrottles.find(*service) : mThrottles.end();
+  const auto* service = ServiceWithTag(route->second, aServiceTag);
+  const auto throttle =
+    service ? mThrottles.find(service->mService) : mThrottles.end();
   if (throttle == mThrottles.end()) {
     return;
   }
-  if (aFlow.mCountedTag != aServiceTag) {
-    aFlow.mCountedTag = aServiceTag;
-    aFlow.mCountedDecided = false;
-    aFlow.mCountedAccepted = false;
-  }
+  const uint32_t bit = ServiceBit(route->second, *service);
   const uint32_t priority = route->second.mPriority;
-  if (!aFlow.mCountedDecided) {
-    aFlow.mCountedDecided = true;
+  if ((aFlow.mCountedDecided & bit) == 0) {
+    aFlow.mCountedDecided |= bit;
     throttle->second.OnDecided(priority, aNow);
   }
-  if (aAccepted && !aFlow.mCountedAccepted) {
-    aFlow.mCountedAccepted = true;
+  if (aAccepted && (aFlow.mCountedAccepted & bit) == 0) {
+    aFlow.mCountedAccepted |= bit;
     throttle->second.OnAccepted(priority, aNow);
   }
 }
--- a/src/Flow/Offer.cpp
+++ b/src/Flow/Offer.cpp
@@ -44,15 +44,6 @@
     std::ranges::count(aOffers, aServiceTag, &Offer::mServiceTag));
 }
 
-bool
-WasFull(const std::vector<Offer>& aOffers, uint32_t aServiceTag)
-{
-  return std::ranges::any_of(aOffers, [aServiceTag](const Offer& aOffer) {
-    return aOffer.mServiceTag == aServiceTag &&
-           aOffer.mRefusal == Refusal::Full;
-  });
-}
-
 std::vector<const cluster::WeightedService*>
 OtherServices(const cluster::Route& aRoute, const std::string& aChosen)
 {
--- a/tests/Flow/FlowEntryCoreOverflowTest.cpp
+++ b/tests/Flow/FlowEntryCoreOverflowTest.cpp
@@ -217,4 +217,21 @@
   BOOST_TEST(SentToDesk() == 1);
 }
 
+// Guards against a throttle that counts a flow twice as refused when another
+// service was asked in between: it would throttle although two of three flows
+// are accepted.
+BOOST_AUTO_TEST_CASE(ThrottleCountsAFlowOnce)
+{
+  mReplica.ApplySnapshot(
+    Part::Routes, { Revision(2), { { "main", Revision(2), "priorities" } } });
+  LeaveOneDesk();
+  for (size_t i = 0; i < 60; ++i) {
+    mNow += 6ms;
+    mSent.clear();
+    mAcceptedOffer = i % 3 == 2 ? 0 : FlowEntryCore::kMaxOffers;
+    Place(Refusal::Full, Refusal::Full);
+    BOOST_TEST(mSent.size() == FlowEntryCore::kMaxOffers);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
