Flow: a service that refused a flow by its throttle is not asked again

Cause: with three or more services, each refusal by a further service went through all other services again. The throttle of one that had refused the flow was asked a second time, and that of one that could not get an offer any more was asked, too. Both were counted as throttled flows, which raised the probability for the service's own flows.

Change: ServicesToAsk() starts with the service that was asked last, and has no further ones when no offer is left.

Result: ServicesAreAskedInOneOrder fails in 3 of 4 checks with the list of all other services, as before, and passes.

--- a/include/snipepost/Flow/Offer.h
+++ b/include/snipepost/Flow/Offer.h
@@ -59,9 +59,15 @@
 size_t
 OffersTo(const std::vector<Offer>& aOffers, uint32_t aServiceTag);
 
-/// The services of the route with a weight above 0 other than aChosen, those
-/// with the highest weight first.
+/// The services of the route with a weight above 0 other than aChosen to which
+/// the next offer may be made, those with the highest weight first: the last
+/// one that was offered the flow, and while aOffersLeft is above 0 those after
+/// it. Those before it have no candidate left, or their throttles have refused
+/// the flow.
 std::vector<const cluster::WeightedService*>
-OtherServices(const cluster::Route& aRoute, const std::string& aChosen);
+ServicesToAsk(const cluster::Route& aRoute,
+              const std::string& aChosen,
+              const std::vector<Offer>& aOffers,
+              size_t aOffersLeft);
 
 } // namespace snipepost::flow
--- a/src/Flow/FlowEntryCoreOverflow.cpp
+++ b/src/Flow/FlowEntryCoreOverflow.cpp
@@ -69,7 +69,8 @@
   const size_t left =
     std::min(kOverflowOffers - std::min(kOverflowOffers, passedOn),
              kMaxOffers - std::min(kMaxOffers, aFlow.mOffers.size()));
-  for (const cluster::WeightedService* other : OtherServices(aRoute, chosen)) {
+  for (const cluster::WeightedService* other :
+       ServicesToAsk(aRoute, chosen, aFlow.mOffers, left)) {
     const std::string& service = other->mService;
     const size_t made = OffersTo(aFlow.mOffers, ServiceTag(service));
     const bool isThrottled =
--- a/src/Flow/Offer.cpp
+++ b/src/Flow/Offer.cpp
@@ -45,7 +45,10 @@
 }
 
 std::vector<const cluster::WeightedService*>
-OtherServices(const cluster::Route& aRoute, const std::string& aChosen)
+ServicesToAsk(const cluster::Route& aRoute,
+              const std::string& aChosen,
+              const std::vector<Offer>& aOffers,
+              size_t aOffersLeft)
 {
   std::vector<const cluster::WeightedService*> others;
   for (const cluster::WeightedService& share : aRoute.mServices) {
@@ -55,6 +58,18 @@
   }
   std::ranges::stable_sort(
     others, std::ranges::greater{}, &cluster::WeightedService::mWeight);
+  const auto wasAsked = [&](const cluster::WeightedService* aOther) {
+    return OffersTo(aOffers, ServiceTag(aOther->mService)) > 0;
+  };
+  const auto asked = std::find_if(others.rbegin(), others.rend(), wasAsked);
+  // Number of services up to the last one that was asked.
+  const auto upToAsked = asked.base() - others.begin();
+  if (aOffersLeft == 0) {
+    others.resize(static_cast<size_t>(upToAsked));
+  }
+  if (upToAsked > 0) {
+    others.erase(others.begin(), others.begin() + (upToAsked - 1));
+  }
   return others;
 }
 
--- a/tests/Flow/FlowEntryCoreOverflowTest.cpp
+++ b/tests/Flow/FlowEntryCoreOverflowTest.cpp
@@ -234,4 +234,27 @@
   }
 }
 
+// Guards against a throttle that is asked again for a flow which it has refused
+// already, or for one that its service can't be offered any more.
+BOOST_AUTO_TEST_CASE(ServicesAreAskedInOneOrder)
+{
+  cluster::Route route;
+  route.mServices = {
+    { "library", 10 }, { "desk", 50 }, { "attic", 40 }, { "cellar", 30 }
+  };
+  Offer offer;
+  offer.mServiceTag = ServiceTag("attic");
+  const auto names = [&](const std::vector<Offer>& aOffers, size_t aLeft) {
+    std::string text;
+    for (const auto* other : ServicesToAsk(route, "library", aOffers, aLeft)) {
+      text += other->mService + ' ';
+    }
+    return text;
+  };
+  BOOST_TEST(names({}, 2) == "desk attic cellar ");
+  BOOST_TEST(names({ offer }, 1) == "attic cellar ");
+  BOOST_TEST(names({ offer, offer }, 0) == "attic ");
+  BOOST_TEST(names({}, 0) == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
