--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -96,8 +96,9 @@
     if (OfferToOtherServices(aTuple, aFlow, route->second, aNow)) {
       return;
     }
-    // No agent of another service could be asked.
-    if (!aFlow.mOverflowed && offerToChosen(kMaxOffers)) {
+    // No further agent of another service can be asked: the offers that were
+    // kept for them are made to the chosen service.
+    if (offerToChosen(kMaxOffers)) {
       return;
     }
   }
@@ -224,7 +225,7 @@
     std::ranges::any_of(aFlow.mOffers, [](const Offer& aOffer) {
       return aOffer.mRefusal == Refusal::Full;
     });
-  CountRefusal(aTuple, aFlow, aNow);
+  CountRefusals(aTuple, aFlow, aNow);
   // A flow that several services refused is reset at once, so that its caller's
   // retry can still be served in time.
   if (overloaded && ExpectsRetransmission(aTuple, aFlow, aNow) &&
