Flow: a missing agent that is silent is not waited for after 200 ms

Lookups for flows of ended servers waited for agents that had removed their record in the state Ready and ended: silence was counted only when a flow had another attempt, which most do not have, as the caller's next packet comes through another entry instance.

Each question to a missing agent now counts, and one that has left 3 unanswered for 200 ms is not waited for.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -330,6 +330,8 @@
   /// True for a server whose record is missing and whose agent does not reply.
   bool HasProbablyEnded(const cluster::BackendRecord& aRecord,
                         Instant aNow) const;
+  /// True when the agent's record is missing, but was known before.
+  bool IsMissing(const Address& aAgent) const;
   /// The servers that may own the flow: those of the services that the route
   /// sends new flows to first, then those of all others if aOfEveryService.
   Servers PossibleOwners(const FlowTuple& aTuple,
--- a/include/snipepost/Flow/RecordHistory.h
+++ b/include/snipepost/Flow/RecordHistory.h
@@ -43,6 +43,8 @@
   const KnownRecords& Records() const { return mRecords; }
   /// True when the record is missing, and was known before.
   bool IsMissing(const std::string& aName) const;
+  /// True when any record is missing.
+  bool HasMissing() const { return mMissing > 0; }
   /// The agent's current record, otherwise a missing one; null if there is
   /// none.
   const cluster::BackendRecord* FindAgent(cluster::NodeIp aAgent) const;
@@ -53,6 +55,7 @@
 
   Duration mFlowLimit;
   KnownRecords mRecords;
+  size_t mMissing = 0;
 };
 
 } // namespace snipepost::flow
--- a/src/Flow/FlowEntryCoreLookup.cpp
+++ b/src/Flow/FlowEntryCoreLookup.cpp
@@ -287,7 +287,9 @@
     return;
   }
   for (const Address& silent : lookup.mAsked) {
-    CountUnanswered(mViews[silent], lookup.mAskedAt);
+    if (!IsMissing(silent)) {
+      CountUnanswered(mViews[silent], lookup.mAskedAt);
+    }
   }
   lookup.mNextAttempt = aNow + kLookupReplyTime;
   lookup.mAskedAt = aNow;
@@ -297,6 +299,11 @@
     lookup.mAsked.push_back(server->mAgent);
     mOutput.SendToAgent(
       aBytes, server->mAgent, 0, TransitMark::OwnerLookup, false);
+    // Most lookups have no attempt after this one, in which a missing agent's
+    // silence would be counted.
+    if (IsMissing(server->mAgent)) {
+      CountUnanswered(mViews[server->mAgent], aNow);
+    }
   }
   // Names one of the agents that an earlier attempt may have waited for.
   const bool repeated = lookup.mAttempts > 1 && !lookup.mAsked.empty();
--- a/src/Flow/FlowEntryCoreLookupTargets.cpp
+++ b/src/Flow/FlowEntryCoreLookupTargets.cpp
@@ -26,9 +26,10 @@
 
 /// Number and time of unanswered messages after which an agent whose record is
 /// missing is considered ended. Without this, lookups for the flows of a server
-/// that has ended would wait for its agent.
-constexpr uint32_t kMissingUnanswered = 6;
-constexpr Duration kMissingSilence = std::chrono::seconds(2);
+/// that has ended would wait for its agent until their callers give up. A
+/// running agent replies within some milliseconds.
+constexpr uint32_t kMissingUnanswered = 3;
+constexpr Duration kMissingSilence = std::chrono::milliseconds(200);
 
 bool
 Contains(const std::vector<cluster::NodeIp>& aNodes, cluster::NodeIp aNode)
@@ -109,7 +110,14 @@
   return view != mViews.end() &&
          view->second.mUnansweredOffers >= kMissingUnanswered &&
          aNow - view->second.mUnansweredSince > kMissingSilence &&
-         mRecords.IsMissing(cluster::RecordName(aRecord.mAgent));
+         IsMissing(aRecord.mAgent);
+}
+
+bool
+FlowEntryCore::IsMissing(const Address& aAgent) const
+{
+  return mRecords.HasMissing() &&
+         mRecords.IsMissing(cluster::RecordName(aAgent));
 }
 
 FlowEntryCore::Servers
--- a/src/Flow/RecordHistory.cpp
+++ b/src/Flow/RecordHistory.cpp
@@ -52,6 +52,10 @@
       known.mMissingSince && aNow - *known.mMissingSince > Retention(known);
     at = isForgotten ? mRecords.erase(at) : std::next(at);
   }
+  mMissing =
+    static_cast<size_t>(std::ranges::count_if(mRecords, [](const auto& aItem) {
+      return aItem.second.mMissingSince.has_value();
+    }));
 }
 
 Duration
