--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -16,6 +16,8 @@
 #include <snipepost/Cluster/Replica.h>
 #include <snipepost/Flow/CandidateTable.h>
 #include <snipepost/Flow/Decision.h>
+#include <snipepost/Flow/EntryOptions.h>
+#include <snipepost/Flow/EntryOutput.h>
 #include <snipepost/Flow/Offer.h>
 #include <snipepost/Flow/OverloadThrottle.h>
 #include <snipepost/Flow/Packet.h>
@@ -23,40 +25,6 @@
 
 namespace snipepost::flow {
 
-/// Sends an entry instance's packets.
-class EntryOutput
-{
-public:
-  virtual ~EntryOutput() = default;
-
-  /// Sends a caller's packet to an agent with the given transit fields.
-  /// aReadsWaits is Packet::mReadsWaits; it is true for offers only.
-  virtual void SendToAgent(std::span<const uint8_t> aBytes,
-                           const Address& aAgent,
-                           uint32_t aServiceTag,
-                           TransitMark aMark,
-                           bool aReadsWaits) = 0;
-  /// Responds to a caller's packet with a reset.
-  virtual void SendReset(const Packet& aPacket) = 0;
-};
-
-/// Settings of an entry instance.
-struct EntryOptions
-{
-  std::string mDomain;
-  /// Maximum lifetime of a flow.
-  Duration mFlowLimit = std::chrono::seconds(60);
-  /// Agents may hold SYNs, and new flows are throttled during overload, for
-  /// services whose routes have different priorities.
-  bool mScheduleFlows = true;
-  /// A flow that the service chosen by the weights of its route has no capacity
-  /// for is offered to the other services of the route.
-  bool mOverflowBetweenServices = true;
-  /// Seed of the random numbers that decide which flows are throttled, and of
-  /// the hash by which callers are counted; differs between instances.
-  uint64_t mSeed = 1;
-};
-
 /// The decisions of an entry instance. A SYN is offered to one agent after
 /// another: to the best candidate first, and to the next one when the agent
 /// refuses or does not reply within some milliseconds. When the service that
