Flow: BestBusyOffer() in two steps, one place for candidates of earlier offers

BestBusyOffer() selected the offers and compared them in one loop of 45 lines; BusyOffers() selects them now. CandidateOf() replaces the same four values in three functions. OfferForQueueing() no longer checks the limit of offers, which its only caller does. No change of behaviour: all suites of test_Flow, and test_OwnerLookupRemoval, test_FlowCtl and test_FlowDaemon pass.

--- a/include/snipepost/Flow/FlowEntryCore.h
+++ b/include/snipepost/Flow/FlowEntryCore.h
@@ -250,6 +250,10 @@
                         EntryFlow& aFlow,
                         const std::string& aService,
                         Instant aNow);
+  /// The offers to agents of the service that refused the flow as busy and were
+  /// not offered it for queueing.
+  static std::vector<const Offer*> BusyOffers(const EntryFlow& aFlow,
+                                              const std::string& aService);
   /// The offer to a busy agent with the earliest expected completion if all of
   /// them have reported a wait for the priority of the flow, otherwise with the
   /// least load; null when there is none.
@@ -343,6 +347,10 @@
                                             const std::string& aService);
   const std::string& ServiceOf(const cluster::Route& aRoute,
                                const FlowTuple& aTuple) const;
+  /// A server that has been offered the flow before, as a candidate without
+  /// rank.
+  Candidate CandidateOf(const cluster::BackendRecord& aServer,
+                        const AgentView& aView) const;
   Duration ReplyTimeout(const Candidate& aCandidate) const;
   Offer* FindOffer(EntryFlow& aFlow, cluster::NodeIp aAgent);
   void UpdateView(AgentView& aView, const OfferReply& aReply, Instant aNow);
--- a/src/Flow/FlowEntryCoreOffers.cpp
+++ b/src/Flow/FlowEntryCoreOffers.cpp
@@ -166,12 +166,21 @@
   std::erase_if(aFlow.mOffers, [&agent](const Offer& aOffer) {
     return aOffer.mAgent == agent;
   });
-  const bool isLocal = record->second.mDomain == mOptions.mDomain;
-  const Candidate candidate{ &record->second, &mViews[agent], isLocal, 0 };
-  SendOffer(aTuple, aFlow, candidate, TransitMark::OfferFinal, aNow);
+  SendOffer(aTuple,
+            aFlow,
+            CandidateOf(record->second, mViews[agent]),
+            TransitMark::OfferFinal,
+            aNow);
   return true;
 }
 
+Candidate
+FlowEntryCore::CandidateOf(const cluster::BackendRecord& aServer,
+                           const AgentView& aView) const
+{
+  return { &aServer, &aView, aServer.mDomain == mOptions.mDomain, 0 };
+}
+
 Duration
 FlowEntryCore::ReplyTimeout(const Candidate& aCandidate) const
 {
--- a/src/Flow/FlowEntryCoreScheduling.cpp
+++ b/src/Flow/FlowEntryCoreScheduling.cpp
@@ -5,7 +5,6 @@
 #include <snipepost/Flow/FlowEntryCore.h>
 
 #include <algorithm>
-#include <limits>
 #include <set>
 
 #include <snipepost/Flow/SynSchedule.h>
@@ -141,8 +140,10 @@
     return;
   }
   const auto* service = ServiceWithTag(route->second, aServiceTag);
-  const auto throttle =
-    service ? mThrottles.find(service->mService) : mThrottles.end();
+  if (!service) {
+    return;
+  }
+  const auto throttle = mThrottles.find(service->mService);
   if (throttle == mThrottles.end()) {
     return;
   }
@@ -213,10 +214,8 @@
                              Instant aNow)
 {
   const Offer& offer = aFlow.mOffers.back();
-  const bool isLocal = aServer.mDomain == mOptions.mDomain;
   const AgentView& view = mViews[offer.mAgent];
-  SetDeadline(
-    aTuple, aFlow, aNow + ReplyTimeout({ &aServer, &view, isLocal, 0 }));
+  SetDeadline(aTuple, aFlow, aNow + ReplyTimeout(CandidateOf(aServer, view)));
   mOutput.SendToAgent(aFlow.mSynBytes,
                       offer.mAgent,
                       ServiceTag(aServer.mService),
@@ -256,9 +255,6 @@
                                 const std::vector<Candidate>& aCandidates,
                                 Instant aNow)
 {
-  if (aFlow.mOffers.size() >= kMaxOffers) {
-    return false;
-  }
   std::vector<Candidate> queues;
   for (const Candidate& candidate : aCandidates) {
     const auto wait = ExpectedWait(*candidate.mView, aRoute.mPriority, aNow);
@@ -312,47 +308,47 @@
   return SynSchedule::TimeOf(copy + 1) > route->second.mObjective / 2;
 }
 
+std::vector<const Offer*>
+FlowEntryCore::BusyOffers(const EntryFlow& aFlow, const std::string& aService)
+{
+  std::vector<const Offer*> busy;
+  for (const Offer& offer : aFlow.mOffers) {
+    if (offer.mState == OfferState::Refused &&
+        offer.mRefusal == Refusal::Busy &&
+        offer.mMark != TransitMark::OfferFinal &&
+        IsOfferTo(aFlow, offer, aService)) {
+      busy.push_back(&offer);
+    }
+  }
+  return busy;
+}
+
 const Offer*
 FlowEntryCore::BestBusyOffer(const FlowTuple& aTuple,
                              const EntryFlow& aFlow,
                              const std::string& aService,
                              Instant aNow) const
 {
-  const auto route = mRoutes->mRoutes.find(aTuple.mService);
-  const bool isScheduled =
-    route != mRoutes->mRoutes.end() && IsScheduled(aService);
-  const Offer* leastLoaded = nullptr;
-  const Offer* leastWait = nullptr;
-  Duration shortest = Duration::max();
-  bool allReported = isScheduled;
-  std::vector<const Offer*> busy;
-  for (const Offer& offer : aFlow.mOffers) {
-    if (offer.mState != OfferState::Refused ||
-        offer.mRefusal != Refusal::Busy ||
-        offer.mMark == TransitMark::OfferFinal ||
-        !IsOfferTo(aFlow, offer, aService)) {
-      continue;
-    }
-    if (!leastLoaded || offer.mLoad < leastLoaded->mLoad) {
-      leastLoaded = &offer;
-    }
-    const auto view = mViews.find(offer.mAgent);
-    const auto wait =
-      allReported && view != mViews.end()
-        ? ExpectedWait(view->second, route->second.mPriority, aNow)
-        : std::nullopt;
-    allReported = wait.has_value();
-    if (wait && *wait < shortest) {
-      leastWait = &offer;
-      shortest = *wait;
-    }
-    busy.push_back(&offer);
+  const auto busy = BusyOffers(aFlow, aService);
+  if (busy.empty()) {
+    return nullptr;
   }
+  const auto route = mRoutes->mRoutes.find(aTuple.mService);
+  const auto waitAt = [&](const Offer* aOffer) {
+    const auto view = mViews.find(aOffer->mAgent);
+    return view == mViews.end()
+             ? std::nullopt
+             : ExpectedWait(view->second, route->second.mPriority, aNow);
+  };
+  const bool allReported =
+    route != mRoutes->mRoutes.end() && IsScheduled(aService) &&
+    std::ranges::all_of(
+      busy, [](const auto& aWait) { return aWait.has_value(); }, waitAt);
   if (!allReported) {
-    return leastLoaded;
+    return *std::ranges::min_element(busy, {}, &Offer::mLoad);
   }
   const Offer* soonest = SoonestOffer(busy, route->second.mPriority, aNow);
-  return soonest ? soonest : leastWait;
+  return soonest ? soonest : *std::ranges::min_element(busy, {}, waitAt);
 }
 
 const Offer*
@@ -367,9 +363,8 @@
       mReplica.Backends().find(cluster::RecordName(offer->mAgent));
     const auto view = mViews.find(offer->mAgent);
     if (record != mReplica.Backends().end() && view != mViews.end()) {
-      const bool isLocal = record->second.mDomain == mOptions.mDomain;
       offers.push_back(offer);
-      candidates.push_back({ &record->second, &view->second, isLocal, 0 });
+      candidates.push_back(CandidateOf(record->second, view->second));
     }
   }
   const auto soonest = SoonestCandidate(candidates, aPriority, aNow);
