Flow: a flow is not idle when its waiting request is forwarded

Cause: ForwardRequest() left the time of the flow's latest packet as it was. A flow whose request had waited for longer than a flow may be idle, and whose caller's retransmissions were lost, expired at the next Expire() although the server was processing the request; its load was released, and its later packets were answered as those of a flow that the server does not own. Change: forwarding a waiting request counts as a packet of the flow. Result: AgentRequestsTest/FlowDoesNotExpireAfterItsRequestWaited fails before (load 0, no open flow) and passes now.

--- a/src/Flow/FlowAgentCoreRequests.cpp
+++ b/src/Flow/FlowAgentCoreRequests.cpp
@@ -116,6 +116,8 @@
   }
   SetBusy(flow, true, aNow);
   flow.mRequestAt = aNow;
+  // The caller's packets may be older than a flow may be idle.
+  flow.mLastSeen = aNow;
   for (const auto& packet : aRequest.mPackets) {
     flow.mForwarded.Add(packet.mHeader);
     mOutput.SendToBackend(packet.mBytes);
--- a/tests/Flow/AgentRequestsTest.cpp
+++ b/tests/Flow/AgentRequestsTest.cpp
@@ -166,6 +166,20 @@
   BOOST_TEST(mIdsToBackend == Ids{ 16 });
 }
 
+// Guards against a flow that expires while the server processes a request that
+// has waited for longer than a flow may be idle: later packets of the flow
+// would be taken for those of a flow that the server does not own.
+BOOST_AUTO_TEST_CASE(FlowDoesNotExpireAfterItsRequestWaited)
+{
+  SetRoutes(kPatientVersion);
+  Send(6, 10);
+  mNow += 31s;
+  mCore->OnTimer(mNow);
+  mCore->Expire(mNow);
+  BOOST_TEST(mCore->Load() == 1U);
+  BOOST_TEST(mCore->OpenFlows() == 1U);
+}
+
 // Guards against requests that are kept back from a server that drains or
 // fails, or after a configuration has switched scheduling off.
 BOOST_AUTO_TEST_CASE(RequestsDoNotWaitForADrainingServer)
