Flow: abandoned half-open flows hold no request back

Cause: half-open flows stop counting as load after 60 ms, but only at the next SYN, the next timer with something waiting, or the next expiry. A request on an open flow that arrived meanwhile waited for up to 20 ms at a server with free slots. Change: MustWait() releases this load before it decides. Result: AgentRequestsTest/AbandonedHalfOpenFlowsHoldNoRequest fails before (nothing forwarded, load 5) and passes now.

--- a/src/Flow/FlowAgentCoreRequests.cpp
+++ b/src/Flow/FlowAgentCoreRequests.cpp
@@ -59,6 +59,8 @@
     return false;
   }
   mScheduler.SetConfig(mReplica.Routes());
+  // Flows whose callers chose other servers count until a SYN or a timer.
+  ReleaseHalfOpenLoad(aNow);
   return RequestsMayWait() && !mScheduler.HasRoom(CurrentLoad(), aNow);
 }
 
--- a/tests/Flow/AgentRequestsTest.cpp
+++ b/tests/Flow/AgentRequestsTest.cpp
@@ -180,6 +180,24 @@
   BOOST_TEST(mCore->OpenFlows() == 1U);
 }
 
+// Guards against a request that waits until the next timer although the load
+// consists of half-open flows whose callers have chosen other servers.
+BOOST_AUTO_TEST_CASE(AbandonedHalfOpenFlowsHoldNoRequest)
+{
+  for (const uint8_t port : { 1, 2, 3, 4, 5 }) {
+    Respond(port);
+  }
+  for (const uint8_t port : { 20, 21, 22, 23, 24 }) {
+    BOOST_REQUIRE((Offer(port) == Refusal::None));
+  }
+  BOOST_REQUIRE(mCore->Load() == 5U);
+  mIdsToBackend.clear();
+  mNow += 61ms;
+  Send(6, 10);
+  BOOST_TEST(mIdsToBackend == Ids{ 16 });
+  BOOST_TEST(mCore->Load() == 1U);
+}
+
 // Guards against requests that are kept back from a server that drains or
 // fails, or after a configuration has switched scheduling off.
 BOOST_AUTO_TEST_CASE(RequestsDoNotWaitForADrainingServer)
