Flow: resets are no samples of the service time

Cause: a server's reset ended a request like a response, so its short time, or the short interval since the last response, was a sample of the service time. A server that rejects requests reported a service time near zero, by which entry instances now choose servers, and its agent expected short waits. Change: resets are no samples, and no responses in the spacing at full load. Result: AgentRequestsTest/ResetsAreNoServiceTimes fails before and passes now.

--- a/src/Flow/FlowAgentCoreBackend.cpp
+++ b/src/Flow/FlowAgentCoreBackend.cpp
@@ -121,9 +121,12 @@
   const bool responds = aPacket.mLength > 0 || aPacket.mFin || aPacket.mReset;
   if (responds && aFlow.mBusy) {
     CountResult(aFlow, aPacket, aNow);
-    UpdateServiceTimes(aTuple, aFlow, aNow);
+    // A request that the server rejects has occupied no slot.
+    if (!aPacket.mReset) {
+      UpdateServiceTimes(aTuple, aFlow, aNow);
+    }
     SetBusy(aFlow, false, aNow);
-    if (mLoad >= mStatus.Slots()) {
+    if (!aPacket.mReset && mLoad >= mStatus.Slots()) {
       mLastResponseAtFullLoad = aNow;
     }
   }
--- a/tests/Flow/AgentRequestsTest.cpp
+++ b/tests/Flow/AgentRequestsTest.cpp
@@ -198,6 +198,21 @@
   BOOST_TEST(mCore->Load() == 1U);
 }
 
+// Guards against a server that seems fast to entry instances because it rejects
+// requests.
+BOOST_AUTO_TEST_CASE(ResetsAreNoServiceTimes)
+{
+  const auto before = mCore->Scheduler().Capacity().MeasuredServiceTime();
+  BOOST_REQUIRE(before.has_value());
+  for (const uint8_t port : { 1, 2, 3, 4, 5 }) {
+    Packet reset = FromBackend(port, kService);
+    reset.mReset = true;
+    mCore->OnBackendPacket(reset, mBytes, mNow);
+  }
+  BOOST_TEST(mCore->Load() == 0U);
+  BOOST_TEST((mCore->Scheduler().Capacity().MeasuredServiceTime() == before));
+}
+
 // Guards against requests that are kept back from a server that drains or
 // fails, or after a configuration has switched scheduling off.
 BOOST_AUTO_TEST_CASE(RequestsDoNotWaitForADrainingServer)
