Flow: data forwarded on flows from before the agent's start is known

Cause: OnUnknownFlow() did not record the data that it forwarded. When the caller's retransmission crossed the response, it was held or counted as a new request; the server does not respond to it, so a slot counted as busy for 5 s. Change: the data is recorded. While the flow is tentative, a retransmission still counts as the request, because the first packet does not. Result: AgentRequestsTest/RetransmissionOnAnEarlierFlowIsNoRequest fails before (load 2 instead of 1) and passes now.

--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -155,6 +155,7 @@
   flow.mOpenedAt = aNow;
   flow.mStartedAt = aNow;
   flow.mLastSeen = aNow;
+  flow.mForwarded.Add(aPacket);
   mOutput.SendToBackend(aBytes);
 }
 
--- a/src/Flow/FlowAgentCoreRequests.cpp
+++ b/src/Flow/FlowAgentCoreRequests.cpp
@@ -30,8 +30,9 @@
 FlowAgentCore::StartsRequest(const AgentFlow& aFlow,
                              const Packet& aPacket) const
 {
+  const bool repeated = !aFlow.mTentative && aFlow.mForwarded.Contains(aPacket);
   return aPacket.mLength > 0 && !aFlow.mBusy &&
-         !(mScheduler.Active() && aFlow.mForwarded.Contains(aPacket));
+         !(mScheduler.Active() && repeated);
 }
 
 // Where requests may not wait, those that do are forwarded whatever the load.
--- a/tests/Flow/AgentRequestsTest.cpp
+++ b/tests/Flow/AgentRequestsTest.cpp
@@ -213,6 +213,25 @@
   BOOST_TEST((mCore->Scheduler().Capacity().MeasuredServiceTime() == before));
 }
 
+// Guards against load that counts a retransmission which crossed the response,
+// on a flow that was opened before the agent started.
+BOOST_AUTO_TEST_CASE(RetransmissionOnAnEarlierFlowIsNoRequest)
+{
+  AgentOptions options;
+  options.mService = "desk";
+  options.mDomain = "a";
+  mCore =
+    std::make_unique<FlowAgentCore>(options, mReplica, *this, mDecisions, mNow);
+  SendHeartbeat();
+  BOOST_REQUIRE((Offer(20) == Refusal::None));
+  Send(6, 10);
+  Respond(6);
+  Send(6, 10);
+  BOOST_TEST(mCore->Load() == 1U);
+  Send(6, 20);
+  BOOST_TEST(mCore->Load() == 2U);
+}
+
 // Guards against requests that are kept back from a server that drains or
 // fails, or after a configuration has switched scheduling off.
 BOOST_AUTO_TEST_CASE(RequestsDoNotWaitForADrainingServer)
