Flow: a waiting SYN opens a flow without earlier state

Cause: while a SYN waits, a late packet of the port's earlier flow, such as the server's FIN, adds the tuple to the flow table. AddFlow() reused this entry, so the new flow counted as established and closed by the server: as load for 5 s if its caller chose another server, and never as open. Change: AddFlow() removes such an entry first. Result: AgentQueueTest/LateFinDoesNotOpenTheWaitingFlow fails before (load 5 instead of 4) and passes now.

--- a/src/Flow/FlowAgentCore.cpp
+++ b/src/Flow/FlowAgentCore.cpp
@@ -332,6 +332,12 @@
                        bool aEntryReadsWaits,
                        Instant aNow)
 {
+  // While a SYN waits, late packets of the port's earlier flow may arrive.
+  const auto earlier = mFlows.find(aTuple);
+  if (earlier != mFlows.end()) {
+    ForwardRequestOf(aTuple, earlier->second, aNow);
+    Erase(earlier);
+  }
   AgentFlow& flow = mFlows[aTuple];
   flow.mCallerSequence = aCallerSequence;
   flow.mEntry = aFrom;
--- a/tests/Flow/AgentQueueTest.cpp
+++ b/tests/Flow/AgentQueueTest.cpp
@@ -114,4 +114,22 @@
   BOOST_TEST(!mReplies.back().mAnnouncesWaits);
 }
 
+// Guards against state of the port's earlier flow, whose late FIN arrives while
+// the new flow waits: the new flow would count as load for 5 s if its caller
+// chose another server.
+BOOST_AUTO_TEST_CASE(LateFinDoesNotOpenTheWaitingFlow)
+{
+  FillServer();
+  BOOST_REQUIRE((Offer(20) == Refusal::Queued));
+  Packet fin = FromBackend(20, kService);
+  fin.mFin = true;
+  mCore->OnBackendPacket(fin, mBytes, mNow);
+  Respond(1);
+  BOOST_REQUIRE(mCore->WaitingFlows() == 0U);
+  BOOST_TEST(mCore->Load() == 5U);
+  mNow += 61ms;
+  mCore->Expire(mNow);
+  BOOST_TEST(mCore->Load() == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
