Flow: requests do not wait before the first heartbeat

Cause: until the first heartbeat an agent assumes one slot. A restarted agent held the requests on open flows beyond one slot and the look-ahead until the heartbeat arrived, although the server had free slots. Change: requests wait only once the number of slots is known. Result: AgentRequestsTest/RequestsDoNotWaitBeforeTheFirstHeartbeat fails before (the fourth request is held) and passes now.

--- a/src/Flow/FlowAgentCoreRequests.cpp
+++ b/src/Flow/FlowAgentCoreRequests.cpp
@@ -36,10 +36,12 @@
 }
 
 // Where requests may not wait, those that do are forwarded whatever the load.
+// Before the first heartbeat the server's slots are unknown.
 bool
 FlowAgentCore::RequestsMayWait() const
 {
-  return mScheduler.Active() && !mRefusesNewFlows && !mStatus.Draining() &&
+  return mScheduler.Active() && mStatus.HasHeartbeat() && !mRefusesNewFlows &&
+         !mStatus.Draining() &&
          mBreaker.CurrentState() == CircuitBreaker::State::Closed;
 }
 
--- a/tests/Flow/AgentRequestsTest.cpp
+++ b/tests/Flow/AgentRequestsTest.cpp
@@ -55,6 +55,15 @@
   {
     Pass(Data(aPort, aSequence), static_cast<uint8_t>(aPort + aSequence));
   }
+  /// The new agent does not know the flows that are open at the server.
+  void RestartAgent()
+  {
+    AgentOptions options;
+    options.mService = "desk";
+    options.mDomain = "a";
+    mCore = std::make_unique<FlowAgentCore>(
+      options, mReplica, *this, mDecisions, mNow);
+  }
   void SetRoutes(std::string_view aVersion)
   {
     mReplica.ApplyChanges(Part::Routes,
@@ -217,11 +226,7 @@
 // on a flow that was opened before the agent started.
 BOOST_AUTO_TEST_CASE(RetransmissionOnAnEarlierFlowIsNoRequest)
 {
-  AgentOptions options;
-  options.mService = "desk";
-  options.mDomain = "a";
-  mCore =
-    std::make_unique<FlowAgentCore>(options, mReplica, *this, mDecisions, mNow);
+  RestartAgent();
   SendHeartbeat();
   BOOST_REQUIRE((Offer(20) == Refusal::None));
   Send(6, 10);
@@ -232,6 +237,18 @@
   BOOST_TEST(mCore->Load() == 2U);
 }
 
+// Guards against requests that wait for slots which the server has: before the
+// first heartbeat the agent does not know their number and assumes one.
+BOOST_AUTO_TEST_CASE(RequestsDoNotWaitBeforeTheFirstHeartbeat)
+{
+  RestartAgent();
+  for (const uint8_t port : { 1, 2, 3, 4 }) {
+    Respond(port);
+    Send(port, 10);
+  }
+  BOOST_TEST((mIdsToBackend == Ids{ 11, 12, 13, 14 }));
+}
+
 // Guards against requests that are kept back from a server that drains or
 // fails, or after a configuration has switched scheduling off.
 BOOST_AUTO_TEST_CASE(RequestsDoNotWaitForADrainingServer)
