--- a/src/Flow/FlowAgentCoreRequests.cpp
+++ b/src/Flow/FlowAgentCoreRequests.cpp
@@ -30,15 +30,18 @@
 FlowAgentCore::StartsRequest(const AgentFlow& aFlow,
                              const Packet& aPacket) const
 {
+  const bool repeated = !aFlow.mTentative && aFlow.mForwarded.Contains(aPacket);
   return aPacket.mLength > 0 && !aFlow.mBusy &&
-         !(mScheduler.Active() && aFlow.mForwarded.Contains(aPacket));
+         !(mScheduler.Active() && repeated);
 }
 
 // Where requests may not wait, those that do are forwarded whatever the load.
+// Before the first heartbeat the server's slots are unknown.
 bool
 FlowAgentCore::RequestsMayWait() const
 {
-  return mScheduler.Active() && !mRefusesNewFlows && !mStatus.Draining() &&
+  return mScheduler.Active() && mStatus.HasHeartbeat() && !mRefusesNewFlows &&
+         !mStatus.Draining() &&
          mBreaker.CurrentState() == CircuitBreaker::State::Closed;
 }
 
@@ -59,6 +62,8 @@
     return false;
   }
   mScheduler.SetConfig(mReplica.Routes());
+  // Flows whose callers chose other servers count until a SYN or a timer.
+  ReleaseHalfOpenLoad(aNow);
   return RequestsMayWait() && !mScheduler.HasRoom(CurrentLoad(), aNow);
 }
 
@@ -116,6 +121,8 @@
   }
   SetBusy(flow, true, aNow);
   flow.mRequestAt = aNow;
+  // The caller's packets may be older than a flow may be idle.
+  flow.mLastSeen = aNow;
   for (const auto& packet : aRequest.mPackets) {
     flow.mForwarded.Add(packet.mHeader);
     mOutput.SendToBackend(packet.mBytes);
--- a/tests/Flow/AgentRequestsTest.cpp
+++ b/tests/Flow/AgentRequestsTest.cpp
@@ -55,6 +55,15 @@
   {
     Pass(Data(aPort, aSequence), static_cast<uint8_t>(aPort + aSequence));
   }
+  /// The new agent does not know the flows that are open at the server.
+  void RestartAgent()
+  {
+    AgentOptions options;
+    options.mService = "desk";
+    options.mDomain = "a";
+    mCore = std::make_unique<FlowAgentCore>(
+      options, mReplica, *this, mDecisions, mNow);
+  }
   void SetRoutes(std::string_view aVersion)
   {
     mReplica.ApplyChanges(Part::Routes,
@@ -166,6 +175,80 @@
   BOOST_TEST(mIdsToBackend == Ids{ 16 });
 }
 
+// Guards against a flow that expires while the server processes a request that
+// has waited for longer than a flow may be idle: later packets of the flow
+// would be taken for those of a flow that the server does not own.
+BOOST_AUTO_TEST_CASE(FlowDoesNotExpireAfterItsRequestWaited)
+{
+  SetRoutes(kPatientVersion);
+  Send(6, 10);
+  mNow += 31s;
+  mCore->OnTimer(mNow);
+  mCore->Expire(mNow);
+  BOOST_TEST(mCore->Load() == 1U);
+  BOOST_TEST(mCore->OpenFlows() == 1U);
+}
+
+// Guards against a request that waits until the next timer although the load
+// consists of half-open flows whose callers have chosen other servers.
+BOOST_AUTO_TEST_CASE(AbandonedHalfOpenFlowsHoldNoRequest)
+{
+  for (const uint8_t port : { 1, 2, 3, 4, 5 }) {
+    Respond(port);
+  }
+  for (const uint8_t port : { 20, 21, 22, 23, 24 }) {
+    BOOST_REQUIRE((Offer(port) == Refusal::None));
+  }
+  BOOST_REQUIRE(mCore->Load() == 5U);
+  mIdsToBackend.clear();
+  mNow += 61ms;
+  Send(6, 10);
+  BOOST_TEST(mIdsToBackend == Ids{ 16 });
+  BOOST_TEST(mCore->Load() == 1U);
+}
+
+// Guards against a server that seems fast to entry instances because it rejects
+// requests.
+BOOST_AUTO_TEST_CASE(ResetsAreNoServiceTimes)
+{
+  const auto before = mCore->Scheduler().Capacity().MeasuredServiceTime();
+  BOOST_REQUIRE(before.has_value());
+  for (const uint8_t port : { 1, 2, 3, 4, 5 }) {
+    Packet reset = FromBackend(port, kService);
+    reset.mReset = true;
+    mCore->OnBackendPacket(reset, mBytes, mNow);
+  }
+  BOOST_TEST(mCore->Load() == 0U);
+  BOOST_TEST((mCore->Scheduler().Capacity().MeasuredServiceTime() == before));
+}
+
+// Guards against load that counts a retransmission which crossed the response,
+// on a flow that was opened before the agent started.
+BOOST_AUTO_TEST_CASE(RetransmissionOnAnEarlierFlowIsNoRequest)
+{
+  RestartAgent();
+  SendHeartbeat();
+  BOOST_REQUIRE((Offer(20) == Refusal::None));
+  Send(6, 10);
+  Respond(6);
+  Send(6, 10);
+  BOOST_TEST(mCore->Load() == 1U);
+  Send(6, 20);
+  BOOST_TEST(mCore->Load() == 2U);
+}
+
+// Guards against requests that wait for slots which the server has: before the
+// first heartbeat the agent does not know their number and assumes one.
+BOOST_AUTO_TEST_CASE(RequestsDoNotWaitBeforeTheFirstHeartbeat)
+{
+  RestartAgent();
+  for (const uint8_t port : { 1, 2, 3, 4 }) {
+    Respond(port);
+    Send(port, 10);
+  }
+  BOOST_TEST((mIdsToBackend == Ids{ 11, 12, 13, 14 }));
+}
+
 // Guards against requests that are kept back from a server that drains or
 // fails, or after a configuration has switched scheduling off.
 BOOST_AUTO_TEST_CASE(RequestsDoNotWaitForADrainingServer)
