--- a/src/FlowDaemon/AgentNode.cpp
+++ b/src/FlowDaemon/AgentNode.cpp
@@ -209,6 +209,7 @@
   const flow::BackendCapacity& capacity = mCore.Scheduler().Capacity();
   NodeMetrics& metrics = mNode.Metrics();
   metrics.mWaitingFlows.Set(static_cast<double>(mCore.WaitingFlows()));
+  metrics.mWaitingRequests.Set(static_cast<double>(mCore.WaitingRequests()));
   metrics.mServiceTime.Set(
     std::chrono::duration<double>(capacity.MeanServiceTime()).count());
   metrics.mQueueLimit.Set(capacity.QueueLimit(aNow));
--- a/src/FlowDaemon/NodeMetrics.cpp
+++ b/src/FlowDaemon/NodeMetrics.cpp
@@ -47,6 +47,9 @@
   , mWaitingFlows(
       mRegistry.AddGauge("snipepost_waiting_flows",
                          "New flows that wait at the agent for a slot"))
+  , mWaitingRequests(mRegistry.AddGauge(
+      "snipepost_waiting_requests",
+      "Requests on open flows that wait at the agent for a slot"))
   , mServiceTime(mRegistry.AddGauge("snipepost_backend_service_seconds",
                                     "Mean time that a request occupies a slot"))
   , mQueueLimit(
--- a/src/FlowDaemon/NodeMetrics.h
+++ b/src/FlowDaemon/NodeMetrics.h
@@ -40,6 +40,7 @@
   Gauge& mFlows;
   Gauge& mLoad;
   Gauge& mWaitingFlows;
+  Gauge& mWaitingRequests;
   Gauge& mServiceTime;
   Gauge& mQueueLimit;
   Gauge& mLogLinesDropped;
