--- a/src/Flow/ExpectedCompletion.cpp
+++ b/src/Flow/ExpectedCompletion.cpp
@@ -19,8 +19,7 @@
 
 /// Completions up to this multiple of the earliest one are close to it. The
 /// standard error of a mean of 16 samples is a quarter when the samples are
-/// distributed exponentially. With 1.25, long flows were late 8 times as often
-/// at .9 of the capacity, and utilisation differed by 9 % instead of 6 %.
+/// distributed exponentially, so smaller differences say little.
 constexpr double kCloseFactor = 1.5;
 
 /// Longer than any expected completion, in seconds.
