--- a/tests/Flow/CandidatesTest.cpp
+++ b/tests/Flow/CandidatesTest.cpp
@@ -50,7 +50,8 @@
   std::deque<RecordHistory::KnownRecord> known;
   for (const cluster::BackendRecord* record : servers.mRecords) {
     const cluster::Revision created(1);
-    table.Add(known.emplace_back(*record, created, created, kNow));
+    known.push_back({ *record, created, created, kNow, std::nullopt });
+    table.Add(known.back());
   }
   auto candidates = table.Candidates(7, "a");
   for (size_t i = 0; i < candidates.size(); ++i) {
